Give the store client, the HTTP server and the logs libraries of their own

Cause: the folder platform/ is to hold the adapter to the consortium platform, and its program must not link libpq and the peers' machinery to get a listener, a log format or a signal handler. Change: src/platform becomes src/registry; HttpListener, HttpConnection and HttpService become src/httpserver; JSON logs, the rate limit and signals move to supervision, which also gets the lifecycle messages; the non-blocking connect of the peers moves to wire; JsonReader can read documents of other programs, whose unknown members are ignored. SIGHUP no longer ends shallotwalkd. Behaviour of the existing programs is otherwise unchanged.

--- a/src/administration/administration.h
+++ b/src/administration/administration.h
@@ -4,4 +4,3 @@
 /// Public header of the administration API.
 
 #include "administration/administrationservice.h"
-#include "administration/messages.h"
--- a/src/administration/administrationservice.cpp
+++ b/src/administration/administrationservice.cpp
@@ -136,38 +136,9 @@
                 },
                 [respond](const caf::error &) { respond(noAnswer()); });
     } else {
-        collectMetrics(connection, std::move(respond));
-    }
-}
-
-void AdministrationService::collectMetrics(caf::io::broker &connection, Respond respond) const
-{
-    struct Collector
-    {
-        std::vector<std::string> texts;
-        std::size_t pending = 0;
-    };
-    auto collector = std::make_shared<Collector>();
-    collector->texts.resize(context_.metrics.size());
-    collector->pending = context_.metrics.size();
-    const auto finish = [collector, respond] {
-        if (--collector->pending > 0)
-            return;
-        HttpResponse response;
-        response.contentType = "text/plain; version=0.0.4";
-        for (const auto &text : collector->texts)
-            response.body += text;
-        respond(response.body.empty() ? noAnswer() : std::move(response));
-    };
-    // A part that doesn't answer, for example while it restarts, only leaves its own metrics out.
-    for (std::size_t i = 0; i < context_.metrics.size(); ++i) {
-        connection.request(context_.metrics[i], localTimeout, MetricsRequest{})
-            .then(
-                [collector, finish, i](const MetricsText &metrics) {
-                    collector->texts[i] = metrics.text;
-                    finish();
-                },
-                [finish](const caf::error &) { finish(); });
+        collectMetrics(context_.metrics, connection, [respond](HttpResponse response) {
+            respond(response.body.empty() ? noAnswer() : std::move(response));
+        });
     }
 }
 
--- a/src/administration/administrationservice.h
+++ b/src/administration/administrationservice.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "administration/messages.h"
 #include "frontend/frontend.h"
+#include "httpserver/httpserver.h"
+#include "supervision/messages.h"
 
 #include <memory>
 #include <string>
@@ -35,7 +36,6 @@
                    Respond respond) const;
     void serveAuthorised(const HttpRequest &request, std::string_view path,
                          caf::io::broker &connection, Respond respond) const;
-    void collectMetrics(caf::io::broker &connection, Respond respond) const;
     void readTables(caf::io::broker &connection, Respond respond) const;
     void applyTables(const HttpRequest &request, caf::io::broker &connection,
                      Respond respond) const;
--- a/src/configuration/configurationactor.h
+++ b/src/configuration/configurationactor.h
@@ -2,7 +2,7 @@
 
 #include "configuration/messages.h"
 #include "core/configurationmachine.h"
-#include "platform/messages.h"
+#include "registry/messages.h"
 #include "supervision/clock.h"
 #include "supervision/subscribers.h"
 #include "wire/tablesassembly.h"
--- a/src/configuration/peerbridge.h
+++ b/src/configuration/peerbridge.h
@@ -2,7 +2,7 @@
 
 #include "configuration/messages.h"
 #include "peers/messages.h"
-#include "platform/messages.h"
+#include "registry/messages.h"
 #include "supervision/supervision.h"
 
 #include <caf/event_based_actor.hpp>
--- a/src/databases/ownershipactor.h
+++ b/src/databases/ownershipactor.h
@@ -4,7 +4,7 @@
 #include "databases/databaseactor.h"
 #include "databases/messages.h"
 #include "databases/ownershipmessages.h"
-#include "platform/messages.h"
+#include "registry/messages.h"
 #include "supervision/supervision.h"
 
 #include <caf/event_based_actor.hpp>
--- a/src/feed/feedactor.h
+++ b/src/feed/feedactor.h
@@ -6,7 +6,7 @@
 #include "core/leavingservers.h"
 #include "feed/feedsubscriptions.h"
 #include "peers/messages.h"
-#include "platform/messages.h"
+#include "registry/messages.h"
 #include "supervision/supervision.h"
 
 #include <caf/event_based_actor.hpp>
--- a/src/feed/feedconversions.h
+++ b/src/feed/feedconversions.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/feedmessage.h"
-#include "platform/messages.h"
+#include "registry/messages.h"
 
 #include <cstdint>
 #include <map>
--- a/src/frontend/callerservice.h
+++ b/src/frontend/callerservice.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "frontend/httpservice.h"
+#include "httpserver/httpservice.h"
 
 #include <memory>
 
--- a/src/frontend/messages.h
+++ b/src/frontend/messages.h
@@ -23,13 +23,7 @@
     StatementReply reply;
 };
 
-/// Tells the caller listener to announce the end of each connection in its responses.
-struct AnnounceClose
-{
-};
-
 } // namespace shallotwalk
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::DispatchStatement)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::DispatchReply)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::AnnounceClose)
--- a/src/frontend/httpconnection.cpp
+++ b/src/httpserver/httpconnection.cpp
@@ -1,4 +1,4 @@
-#include "frontend/httpconnection.h"
+#include "httpserver/httpconnection.h"
 
 #include <sys/socket.h>
 
--- a/src/frontend/httpconnection.h
+++ b/src/httpserver/httpconnection.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "frontend/httpservice.h"
-#include "frontend/messages.h"
+#include "httpserver/httpservice.h"
+#include "httpserver/messages.h"
 #include "supervision/mailboxclosingbroker.h"
 #include "supervision/supervision.h"
 #include "wire/wire.h"
--- a/src/frontend/httplistener.cpp
+++ b/src/httpserver/httplistener.cpp
@@ -1,4 +1,4 @@
-#include "frontend/httplistener.h"
+#include "httpserver/httplistener.h"
 
 #include "supervision/logvalue.h"
 
--- a/src/frontend/httplistener.h
+++ b/src/httpserver/httplistener.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "frontend/httpconnection.h"
+#include "httpserver/httpconnection.h"
 
 #include <set>
 #include <string>
--- a/src/node/logging.cpp
+++ b/src/node/logging.cpp
@@ -1,7 +1,7 @@
 #include "node/logging.h"
 
-#include "node/jsonlogformatter.h"
-#include "node/ratelimitsink.h"
+#include "supervision/jsonlogformatter.h"
+#include "supervision/ratelimitsink.h"
 
 #include <spdlog/spdlog.h>
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -8,4 +8,4 @@
 #include "node/nodeactor.h"
 #include "node/rootsupervisor.h"
 #include "node/settings.h"
-#include "node/shutdownsignals.h"
+#include "supervision/processsignals.h"
--- a/src/node/nodeactor.h
+++ b/src/node/nodeactor.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "administration/messages.h"
 #include "configuration/messages.h"
 #include "frontend/messages.h"
 #include "peers/messages.h"
+#include "supervision/messages.h"
 #include "supervision/supervision.h"
 
 #include <caf/event_based_actor.hpp>
--- a/src/node/rootsupervisor.cpp
+++ b/src/node/rootsupervisor.cpp
@@ -6,7 +6,7 @@
 #include "feed/feed.h"
 #include "frontend/frontend.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
+#include "registry/registry.h"
 
 #include <caf/io/middleman.hpp>
 
@@ -86,11 +86,11 @@
 
     ChildSpecification platform() const
     {
-        PlatformSettings platform;
+        RegistrySettings platform;
         for (const auto &address : settings_.store)
             platform.store.endpoints.push_back({address.host, address.port});
         platform.vmList.endpoint = {settings_.vmList.host, settings_.vmList.port};
-        auto children = platformChildren(platform, clock_);
+        auto children = registryChildren(platform, clock_);
         for (auto &child : children) {
             child.relay = child.name == storeClientName    ? relays_.storeClient
                           : child.name == storeWatcherName ? relays_.storeWatcher
--- a/src/platform/platformsupervisor.cpp
+++ b/src/registry/registrysupervisor.cpp
@@ -1,8 +1,8 @@
-#include "platform/platformsupervisor.h"
+#include "registry/registrysupervisor.h"
 
 namespace shallotwalk {
 
-std::vector<ChildSpecification> platformChildren(const PlatformSettings &settings,
+std::vector<ChildSpecification> registryChildren(const RegistrySettings &settings,
                                                  std::shared_ptr<const Clock> clock)
 {
     auto watcher = settings.watcher;
--- a/src/platform/storeclient.cpp
+++ b/src/registry/storeclient.cpp
@@ -1,4 +1,4 @@
-#include "platform/storeclient.h"
+#include "registry/storeclient.h"
 
 #include "supervision/logvalue.h"
 #include "supervision/messages.h"
--- a/src/platform/storeclient.h
+++ b/src/registry/storeclient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/messages.h"
+#include "registry/messages.h"
 #include "supervision/clock.h"
 #include "wire/httpclient.h"
 
--- a/src/platform/storewatcher.cpp
+++ b/src/registry/storewatcher.cpp
@@ -1,4 +1,4 @@
-#include "platform/storewatcher.h"
+#include "registry/storewatcher.h"
 
 #include "supervision/logvalue.h"
 #include "supervision/messages.h"
--- a/src/platform/storewatcher.h
+++ b/src/registry/storewatcher.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/watchview.h"
-#include "platform/messages.h"
-#include "platform/storeclient.h"
+#include "registry/messages.h"
+#include "registry/storeclient.h"
 #include "supervision/subscribers.h"
 
 #include <map>
--- a/src/platform/vmlistpoller.cpp
+++ b/src/registry/vmlistpoller.cpp
@@ -1,4 +1,4 @@
-#include "platform/vmlistpoller.h"
+#include "registry/vmlistpoller.h"
 
 #include "supervision/logvalue.h"
 #include "supervision/messages.h"
--- a/src/shallotwalkd/main.cpp
+++ b/src/shallotwalkd/main.cpp
@@ -3,6 +3,8 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/program_options.hpp>
 #include <caf/scoped_actor.hpp>
+#include <caf/send.hpp>
+#include <spdlog/spdlog.h>
 
 #include <iostream>
 
@@ -36,7 +38,7 @@
 
 int runNode(const Settings &settings)
 {
-    ShutdownSignals signals;
+    ProcessSignals signals;
     configureLogging(settings);
     caf::actor_system_config config;
     configureActorSystem(config);
@@ -44,7 +46,12 @@
     caf::scoped_actor self(system);
     const auto node = startNode(system, settings, std::make_shared<BootClock>());
     self->monitor(node);
-    signals.forwardTo(node);
+    signals.forwardTo([node](int signal) {
+        if (signal == SIGHUP)
+            spdlog::info("event=reload_ignored reason=\"settings are read at the start only\"");
+        else
+            caf::anon_send(node, ShutdownRequest{});
+    });
     int code = exitFailed;
     self->receive([&](const caf::down_msg &message) {
         if (!message.reason)
--- a/src/node/jsonlogformatter.cpp
+++ b/src/supervision/jsonlogformatter.cpp
@@ -1,4 +1,4 @@
-#include "node/jsonlogformatter.h"
+#include "supervision/jsonlogformatter.h"
 
 #include "supervision/logvalue.h"
 
--- a/src/supervision/messages.h
+++ b/src/supervision/messages.h
@@ -25,6 +25,23 @@
 {
 };
 
+/// Asks the lifecycle actor whether callers should be sent here. The answer is a Readiness.
+struct ReadinessRequest
+{
+};
+
+/// Whether the balancer should send callers to this proxy.
+struct Readiness
+{
+    bool ready = false;
+    std::string reason; ///< Why it isn't ready.
+};
+
+/// Asks the lifecycle actor to drain and end this process.
+struct ShutdownRequest
+{
+};
+
 /// Sent by a supervisor to its listener whenever it has started or restarted a child.
 struct ChildStarted
 {
@@ -48,6 +65,9 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::StateDumpRequest)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::StateDump)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::DrainRequest)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::ReadinessRequest)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::Readiness)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::ShutdownRequest)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::ChildStarted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::MetricsRequest)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::MetricsText)
--- a/src/node/ratelimitsink.cpp
+++ b/src/supervision/ratelimitsink.cpp
@@ -1,4 +1,4 @@
-#include "node/ratelimitsink.h"
+#include "supervision/ratelimitsink.h"
 
 #include "supervision/logvalue.h"
 
--- a/src/wire/jsonreader.cpp
+++ b/src/wire/jsonreader.cpp
@@ -7,6 +7,7 @@
 #include <boost/leaf/error.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace shallotwalk {
 
@@ -54,10 +55,11 @@
 }
 
 JsonReader::JsonReader(const json::value &value, std::string path,
-                       std::vector<JsonProblem> &problems)
+                       std::vector<JsonProblem> &problems, JsonStrictness strictness)
     : object_(value.if_object())
     , path_(std::move(path))
     , problems_(problems)
+    , strictness_(strictness)
 {
     if (object_ == nullptr)
         problems_.push_back({path_, "must be an object"});
@@ -65,7 +67,7 @@
 
 void JsonReader::reportUnknown()
 {
-    if (object_ == nullptr)
+    if (object_ == nullptr || strictness_ == JsonStrictness::Foreign)
         return;
     std::string names;
     for (const auto &name : known_)
@@ -138,7 +140,7 @@
     const auto *value = find(key);
     if (value == nullptr)
         return;
-    JsonReader reader(*value, pathOf(key), problems_);
+    JsonReader reader(*value, pathOf(key), problems_, strictness_);
     read(reader);
     reader.reportUnknown();
 }
@@ -154,7 +156,8 @@
         return;
     }
     for (std::size_t i = 0; i < list->size(); ++i) {
-        JsonReader reader((*list)[i], pathOf(key) + "[" + std::to_string(i) + "]", problems_);
+        JsonReader reader((*list)[i], pathOf(key) + "[" + std::to_string(i) + "]", problems_,
+                          strictness_);
         read(reader);
         reader.reportUnknown();
     }
@@ -184,10 +187,9 @@
     if (member == nullptr)
         return false;
     const auto range = std::to_string(lowest) + " to " + std::to_string(highest);
-    json::error_code error;
-    const bool integral = member->is_int64() || member->is_uint64();
-    value = integral ? member->to_number<std::int64_t>(error) : 0;
-    if (!integral || error) {
+    const auto integer = toInteger(*member);
+    value = integer.value_or(0);
+    if (!integer) {
         problem(key, "must be an integer from " + range + ", not " + json::serialize(*member));
         return false;
     }
@@ -198,6 +200,43 @@
     return true;
 }
 
+std::optional<std::int64_t> JsonReader::toInteger(const json::value &value) const
+{
+    json::error_code error;
+    if (value.is_int64() || value.is_uint64()) {
+        const auto number = value.to_number<std::int64_t>(error);
+        return error ? std::nullopt : std::optional(number);
+    }
+    // Larger doubles have no exact integer.
+    constexpr double largest = 9007199254740992.0;
+    if (strictness_ != JsonStrictness::Foreign || !value.is_double()
+        || std::abs(value.get_double()) > largest)
+        return std::nullopt;
+    return static_cast<std::int64_t>(value.get_double());
+}
+
+void JsonReader::integers(std::string_view key, std::vector<std::int64_t> &target,
+                          std::int64_t lowest, std::int64_t highest)
+{
+    const auto *value = find(key);
+    if (value == nullptr)
+        return;
+    const auto *list = value->if_array();
+    if (list == nullptr) {
+        problem(key, "must be an array of integers");
+        return;
+    }
+    target.clear();
+    for (const auto &entry : *list) {
+        const auto number = toInteger(entry);
+        if (number && *number >= lowest && *number <= highest)
+            target.push_back(*number);
+        else
+            problem(key, "must hold integers from " + std::to_string(lowest) + " to "
+                             + std::to_string(highest) + ", not " + json::serialize(entry));
+    }
+}
+
 std::optional<std::size_t> JsonReader::readChoice(std::string_view key,
                                                   const std::vector<std::string_view> &names)
 {
--- a/src/wire/jsonreader.h
+++ b/src/wire/jsonreader.h
@@ -45,6 +45,14 @@
 /// line and column. Thread-safe.
 Result<boost::json::value> parseJsonWithComments(std::string_view text);
 
+/// How strictly a document is read.
+enum class JsonStrictness {
+    Strict,
+    /// For documents of other programs, which may be newer: unknown members are ignored, and
+    /// numbers may be written with a fraction, which is dropped.
+    Foreign,
+};
+
 /// Reads the members of one JSON object, checks types and ranges, and collects all problems instead
 /// of stopping at the first. Members that are absent leave the target as it is, which is the
 /// default. Not thread-safe.
@@ -53,9 +61,10 @@
 public:
     /// \a problems must outlive the reader. A \a value that is no object is a problem.
     JsonReader(const boost::json::value &value, std::string path,
-               std::vector<JsonProblem> &problems);
+               std::vector<JsonProblem> &problems,
+               JsonStrictness strictness = JsonStrictness::Strict);
 
-    /// Reports members that no call has read. Call it last.
+    /// Reports members that no call has read, unless the document is foreign. Call it last.
     void reportUnknown();
 
     /// Reports a problem if member \a key is absent.
@@ -77,6 +86,10 @@
             target = static_cast<Integer>(value);
     }
 
+    /// Reads an array of integers between \a lowest and \a highest.
+    void integers(std::string_view key, std::vector<std::int64_t> &target, std::int64_t lowest,
+                  std::int64_t highest);
+
     /// Reads a number of milliseconds into a std::chrono duration.
     template<class Period>
     void milliseconds(std::string_view key, Period &target, std::int64_t lowest,
@@ -117,11 +130,13 @@
                      std::int64_t highest);
     std::optional<std::size_t> readChoice(std::string_view key,
                                           const std::vector<std::string_view> &names);
+    std::optional<std::int64_t> toInteger(const boost::json::value &value) const;
     std::string pathOf(std::string_view key) const;
 
     const boost::json::object *object_;
     std::string path_;
     std::vector<JsonProblem> &problems_;
+    JsonStrictness strictness_;
     std::set<std::string, std::less<>> known_;
 };
 
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -14,6 +14,7 @@
 #include "wire/peermessage.h"
 #include "wire/pgconnection.h"
 #include "wire/sessioncodec.h"
+#include "wire/socketconnect.h"
 #include "wire/sqlconnection.h"
 #include "wire/statementcodec.h"
 #include "wire/storecodec.h"
--- a/tests/configuration/test_configurationactor.cpp
+++ b/tests/configuration/test_configurationactor.cpp
@@ -1,5 +1,5 @@
 #include "configuration/configuration.h"
-#include "platform/platform.h"
+#include "registry/registry.h"
 #include "support/standinprocess.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/databases/fakefleet.h
+++ b/tests/databases/fakefleet.h
@@ -4,7 +4,7 @@
 #include "databases/messages.h"
 #include "databases/ownershipmessages.h"
 #include "peers/messages.h"
-#include "platform/messages.h"
+#include "registry/messages.h"
 #include "wire/wire.h"
 
 #include <boost/leaf/handle_errors.hpp>
--- a/tests/node/test_logs.cpp
+++ b/tests/node/test_logs.cpp
@@ -1,7 +1,7 @@
 #include "frontend/requestlog.h"
-#include "node/jsonlogformatter.h"
-#include "node/ratelimitsink.h"
+#include "supervision/jsonlogformatter.h"
 #include "supervision/logvalue.h"
+#include "supervision/ratelimitsink.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/test/unit_test.hpp>
--- a/tests/platform/main.cpp
+++ b/tests/registry/main.cpp
@@ -1,2 +1,2 @@
-#define BOOST_TEST_MODULE platform
+#define BOOST_TEST_MODULE registry
 #include <boost/test/unit_test.hpp>
--- a/tests/platform/test_platform.cpp
+++ b/tests/registry/test_registry.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform.h"
+#include "registry/registry.h"
 #include "supervision/supervision.h"
 #include "support/standinprocess.h"
 #include "wire/storecodec.h"
@@ -106,7 +106,7 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(platform, Fixture)
+BOOST_FIXTURE_TEST_SUITE(registry, Fixture)
 
 // Guards against subscribers that miss all changes after a restart of the watcher's actor.
 BOOST_AUTO_TEST_CASE(subscriptions_survive_a_restart_of_the_watcher)
@@ -242,13 +242,13 @@
 }
 
 // Guards against a branch that doesn't start, and a child that doesn't answer a state dump.
-BOOST_AUTO_TEST_CASE(platform_children_run_under_a_supervisor)
+BOOST_AUTO_TEST_CASE(registry_children_run_under_a_supervisor)
 {
-    PlatformSettings branch;
+    RegistrySettings branch;
     branch.store = settings();
     branch.vmList.endpoint = store.endpoint();
     const auto supervisor =
-        system.spawn<Supervisor>("platform", platformChildren(branch, clock), clock);
+        system.spawn<Supervisor>("registry", registryChildren(branch, clock), clock);
     self->request(supervisor, seconds(5), StateDumpRequest{})
         .receive(
             [](const StateDump &dump) {
