--- /dev/null
+++ b/src/core/directory.cpp
@@ -0,0 +1,149 @@
+#include "core/directory.h"
+
+#include <algorithm>
+
+namespace shallotwalk {
+
+Directory::Directory(const DirectorySettings &settings)
+    : settings_(settings)
+{
+}
+
+bool Directory::configurationRead(OperatorConfiguration configuration)
+{
+    if (configuration_ && configuration.tables->version <= configuration_->tables->version)
+        return false;
+    configuration_ = std::move(configuration);
+    return true;
+}
+
+bool Directory::serverSeen(const ServerRegistration &server)
+{
+    auto &entry = servers_[server.id];
+    const bool changed = entry.value != server || entry.goneSince.has_value();
+    entry = {server, true, std::nullopt};
+    return changed;
+}
+
+bool Directory::serverGone(std::string_view id, TimePoint now)
+{
+    return remove(servers_, id, now);
+}
+
+bool Directory::proxySeen(std::string_view name)
+{
+    const auto [place, added] = proxies_.try_emplace(std::string(name));
+    place->second = {true, true, std::nullopt};
+    return added;
+}
+
+bool Directory::proxyGone(std::string_view name, TimePoint now)
+{
+    return remove(proxies_, name, now);
+}
+
+void Directory::promotionSeen(PromotionRecord record)
+{
+    auto &known = promotions_[record.service];
+    if (known.revision < record.revision)
+        known = std::move(record);
+}
+
+const PromotionRecord *Directory::promotion(std::string_view service) const
+{
+    const auto found = promotions_.find(service);
+    return found == promotions_.end() ? nullptr : &found->second;
+}
+
+bool Directory::mustHold(TimePoint now) const
+{
+    return failingSince_ || now - recoveredAt_ < settings_.holdAfterOutage;
+}
+
+template<class Value>
+bool Directory::remove(Entries<Value> &entries, std::string_view name, TimePoint now)
+{
+    const auto found = entries.find(name);
+    if (found == entries.end())
+        return false;
+    if (!mustHold(now)) {
+        entries.erase(found);
+        return true;
+    }
+    if (!found->second.goneSince)
+        found->second.goneSince = now;
+    return false;
+}
+
+template<class Value>
+bool Directory::endListing(Entries<Value> &entries, TimePoint now)
+{
+    std::vector<std::string> missing;
+    for (const auto &[name, entry] : entries) {
+        if (!entry.listed)
+            missing.push_back(name);
+    }
+    bool changed = false;
+    for (const auto &name : missing)
+        changed = remove(entries, name, now) || changed;
+    return changed;
+}
+
+template<class Value>
+bool Directory::expire(Entries<Value> &entries, TimePoint now)
+{
+    if (mustHold(now))
+        return false;
+    return std::erase_if(entries,
+                         [](const auto &entry) { return entry.second.goneSince.has_value(); })
+           > 0;
+}
+
+void Directory::beginListing()
+{
+    for (auto &[id, entry] : servers_)
+        entry.listed = false;
+    for (auto &[name, entry] : proxies_)
+        entry.listed = false;
+}
+
+bool Directory::endListing(TimePoint now)
+{
+    const bool servers = endListing(servers_, now);
+    return endListing(proxies_, now) || servers;
+}
+
+void Directory::storeFailed(TimePoint now)
+{
+    if (!failingSince_)
+        failingSince_ = now;
+}
+
+void Directory::storeAnswered(TimePoint now)
+{
+    if (failingSince_)
+        recoveredAt_ = now;
+    failingSince_.reset();
+}
+
+bool Directory::expire(TimePoint now)
+{
+    const bool servers = expire(servers_, now);
+    return expire(proxies_, now) || servers;
+}
+
+std::vector<ServerRegistration> Directory::servers() const
+{
+    std::vector<ServerRegistration> list;
+    for (const auto &[id, entry] : servers_)
+        list.push_back(entry.value);
+    return list;
+}
+
+std::size_t Directory::heldCount() const
+{
+    return std::count_if(servers_.begin(), servers_.end(),
+                         [](const auto &entry) { return entry.second.goneSince.has_value(); });
+}
+
+} // namespace shallotwalk
--- /dev/null
+++ b/src/core/directory.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "core/serverregistration.h"
+#include "core/tables.h"
+#include "core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace shallotwalk {
+
+/// One version of the operators' configuration.
+struct OperatorConfiguration
+{
+    std::shared_ptr<const Tables> tables;
+    Duration transactionIdleLimit{0}; ///< 0: none.
+};
+
+/// A record in the store of the last promotion of a group. Its revision is the fencing token of the
+/// order, so two orders never share one.
+struct PromotionRecord
+{
+    std::string service;
+    std::string server; ///< To take over.
+    std::string holder; ///< Proxy that gives the order.
+    std::string nonce;  ///< Recognises a write whose answer was lost.
+    std::int64_t revision = 0;
+
+    bool operator==(const PromotionRecord &) const = default;
+};
+
+/// Bounds on the trust in missing entries.
+struct DirectorySettings
+{
+    /// After an outage of the store, until an entry that is still missing counts as gone. Servers
+    /// that live are back within about two seconds.
+    Duration holdAfterOutage{std::chrono::milliseconds(2500)};
+};
+
+/// What this proxy knows from the platform's store: the configuration in force, the registered
+/// backend servers, the proxies of the fleet and the last promotions. An accepted configuration is
+/// never replaced by an older one, and entries that vanish around an outage of the store are kept
+/// until their owners have had time to write them again. Not thread-safe.
+class Directory
+{
+public:
+    explicit Directory(const DirectorySettings &settings = {});
+
+    /// Takes a configuration; false if it isn't newer than the one in force.
+    bool configurationRead(OperatorConfiguration configuration);
+
+    /// Takes the entry of a server, present or changed. Returns whether anything but the heartbeat
+    /// has changed.
+    bool serverSeen(const ServerRegistration &server);
+    bool serverGone(std::string_view id, TimePoint now);
+    bool proxySeen(std::string_view name);
+    bool proxyGone(std::string_view name, TimePoint now);
+    void promotionSeen(PromotionRecord record);
+
+    /// All entries have been read: those that no call has named since beginListing() are gone.
+    void beginListing();
+    bool endListing(TimePoint now);
+
+    /// A call to the store has failed or succeeded.
+    void storeFailed(TimePoint now);
+    void storeAnswered(TimePoint now);
+
+    /// Removes the entries whose time has come; whether there were any.
+    bool expire(TimePoint now);
+
+    bool storeAvailable() const { return !failingSince_.has_value(); }
+    const std::optional<OperatorConfiguration> &configuration() const { return configuration_; }
+    std::vector<ServerRegistration> servers() const;
+    std::size_t proxyCount() const { return proxies_.size(); }
+    const PromotionRecord *promotion(std::string_view service) const;
+    std::size_t heldCount() const;
+
+private:
+    template<class Value>
+    struct Entry
+    {
+        Value value;
+        bool listed = true;
+        std::optional<TimePoint> goneSince;
+    };
+    template<class Value>
+    using Entries = std::map<std::string, Entry<Value>, std::less<>>;
+
+    template<class Value>
+    bool remove(Entries<Value> &entries, std::string_view name, TimePoint now);
+    template<class Value>
+    bool endListing(Entries<Value> &entries, TimePoint now);
+    template<class Value>
+    bool expire(Entries<Value> &entries, TimePoint now);
+    bool mustHold(TimePoint now) const;
+
+    DirectorySettings settings_;
+    std::optional<OperatorConfiguration> configuration_;
+    Entries<ServerRegistration> servers_;
+    Entries<bool> proxies_;
+    std::map<std::string, PromotionRecord, std::less<>> promotions_;
+    std::optional<TimePoint> failingSince_;
+    TimePoint recoveredAt_;
+};
+
+} // namespace shallotwalk
--- /dev/null
+++ b/src/core/grouprequest.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/sqlsession.h"
+
+namespace shallotwalk {
+
+/// How a statement relates to the transaction of its session.
+enum class RequestScope {
+    Single,           ///< Outside of any transaction.
+    BeginTransaction, ///< The first statement of a transaction, which is begun with it.
+    InTransaction,
+};
+
+/// A client's statement on its way to a backend server of one group.
+struct GroupRequest
+{
+    RequestNumber number = 0;
+    SessionNumber session = 0;
+    RequestScope scope = RequestScope::Single;
+    bool readOnlyTransaction = false;
+    bool readOnly = false; ///< The statement itself changes nothing. False for a commit.
+    SessionStatement statement;
+    std::optional<PreparedStatement> prepared; ///< Of an Execute statement.
+    std::shared_ptr<const SessionValues> values;
+
+    std::string route;
+    std::uint32_t weight = 1;
+    Duration maxStaleness{0}; ///< 0: reads need the primary.
+    Position sessionPosition; ///< Of the session's last commit.
+    TimePoint startedAt;      ///< Arrival of the statement, or of its transaction's begin.
+    TimePoint receivedAt;     ///< Arrival of the statement.
+    TimePoint deadline;       ///< End of the route's timeout.
+    Duration goal{0};         ///< Latency objective of the whole operation; 0: none.
+
+    bool mayUseReplica() const
+    {
+        return maxStaleness > Duration::zero()
+               && (scope == RequestScope::Single ? readOnly : readOnlyTransaction);
+    }
+};
+
+/// Outcome of a GroupRequest.
+struct GroupAnswer
+{
+    SessionAnswer answer;
+    bool committed = false; ///< A commit or a single write took effect at answer.position.
+    std::string server;     ///< That answered; empty if none did.
+};
+
+} // namespace shallotwalk
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -22,14 +22,16 @@
     /// Fails with ErrorCode::NoRoute or ErrorCode::RequestKeyRequired, verdict "did not run".
     Result<void> route(StatementRequest &request, TimePoint now) const;
 
+    /// The route of \a request, which needs only its caller, service and database; null if there is
+    /// none. The pointer lives as long as the router.
+    const Route *find(const StatementRequest &request) const;
+
     const Tables &tables() const { return *tables_; }
 
 private:
     using Routes = std::vector<const Route *>;
     using RoutesByDatabase = std::unordered_map<std::string_view, Routes>;
 
-    const Route *find(const StatementRequest &request) const;
-
     std::shared_ptr<const Tables> tables_;
     /// Routes in the order of the table, by service and database. Points into tables_.
     std::unordered_map<std::string_view, RoutesByDatabase> routes_;
--- a/src/core/tables.h
+++ b/src/core/tables.h
@@ -55,6 +55,8 @@
     WorkKind kind = WorkKind::Short;
     Duration maxStaleness{0}; ///< 0: reads cover the last acknowledged write.
     Duration timeout{std::chrono::seconds(5)};
+    Duration goal{0}; ///< Latency objective; 0: none. Work that would miss it is refused early.
+    std::uint32_t priority = 0; ///< 0 is the highest.
     std::uint32_t weight = 1;
     std::uint32_t queueLimit = 200;
     bool requireRequestKey = true;
