Add the gateway: actors for clients that keep a session per connection

A supervisor tree of brokers on one thread: store callers, directory, promotions, one actor per group of servers with its connections, one per client session. Encodings are behind the interfaces of protocols.h. A promotion is recorded in the store by compare-and-swap first, and the revision of the record is the fencing token, so each token stands for one choice of one proxy.

--- /dev/null
+++ b/src/gateway/directoryactor.cpp
@@ -0,0 +1,359 @@
+#include "gateway/directoryactor.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <spdlog/spdlog.h>
+
+namespace shallotwalk {
+
+namespace {
+
+using RetryList = caf::atom_constant<caf::atom("rtry_list")>;
+using RetryWatch = caf::atom_constant<caf::atom("rtry_watch")>;
+using RenewLease = caf::atom_constant<caf::atom("renew")>;
+using ExpireEntries = caf::atom_constant<caf::atom("expire")>;
+
+/// Everything in the store is watched with one call.
+constexpr std::string_view watchedPrefix;
+
+constexpr Duration expiryPace = std::chrono::milliseconds(250);
+
+} // namespace
+
+caf::behavior DirectoryActor::run(Broker *self, DirectoryContext context)
+{
+    return self->state.start(std::move(context));
+}
+
+caf::behavior DirectoryActor::start(DirectoryContext context)
+{
+    context_ = std::move(context);
+    list({});
+    joinFleet();
+    return {
+        [this](RetryList) { list({}); },
+        [this](RetryWatch) { watch(); },
+        [this](RenewLease) {
+            if (lease_ == 0)
+                joinFleet();
+            else
+                renew();
+        },
+        [this](ExpireEntries) {
+            expiryTimer_ = false;
+            changed_ = directory_.expire(context_.clock->now()) || changed_;
+            publish();
+            expireSoon();
+        },
+        [this](DirectoryRequest) {
+            changed_ = true;
+            publish();
+        },
+        [this](LeaveFleet) { leaveFleet(); },
+        [this](DrainRequest) { self_->quit(); },
+        [this](StateDumpRequest) { return dump(); },
+    };
+}
+
+template<class Decode, class Handle>
+void DirectoryActor::call(const caf::actor &caller, HttpCall call, Decode decode, Handle handle,
+                          void (DirectoryActor::*failed)())
+{
+    const auto timeout = call.timeout + context_.callTimeout;
+    const auto target = call.method + ' ' + call.target.substr(0, call.target.find('?'));
+    self_->request(caller, timeout, HttpCallRequest{std::move(call)})
+        .then(
+            [=, this](const HttpCallResult &result) {
+                if (result.response.status == 0) {
+                    noteFailure(target, result.error);
+                    (this->*failed)();
+                    return;
+                }
+                boost::leaf::try_handle_all(
+                    [&]() -> Result<void> {
+                        BOOST_LEAF_AUTO(value, decode(result.response));
+                        noteAnswer();
+                        handle(value);
+                        return {};
+                    },
+                    [&](const Failure &failure) {
+                        noteFailure(target, failure.message);
+                        (this->*failed)();
+                    },
+                    [&] {
+                        noteFailure(target, "unknown error");
+                        (this->*failed)();
+                    });
+            },
+            [=, this](const caf::error &error) {
+                noteFailure(target, self_->system().render(error));
+                (this->*failed)();
+            });
+}
+
+void DirectoryActor::list(std::string after)
+{
+    if (after.empty()) {
+        directory_.beginListing();
+        listRevision_ = 0;
+    }
+    auto call = context_.protocols.store->list(watchedPrefix, after);
+    call.timeout = context_.callTimeout;
+    this->call(
+        context_.watchCaller, std::move(call),
+        [this](const HttpResponse &response) {
+            return context_.protocols.store->decodePage(response);
+        },
+        [this](const StorePage &page) { handlePage(page); }, &DirectoryActor::listFailed);
+}
+
+void DirectoryActor::handlePage(const StorePage &page)
+{
+    for (const auto &item : page.items)
+        applyItem(item);
+    // Pages are no snapshot: changes since the first one are in the watch that follows.
+    if (listRevision_ == 0)
+        listRevision_ = page.revision;
+    if (page.more && !page.items.empty()) {
+        list(page.items.back().key);
+        return;
+    }
+    changed_ = directory_.endListing(context_.clock->now()) || changed_;
+    revision_ = listRevision_;
+    spdlog::info("event=directory_read revision={} servers={} proxies={} configuration={}",
+                 revision_, directory_.servers().size(), directory_.proxyCount(),
+                 directory_.configuration() ? directory_.configuration()->tables->version : 0);
+    changed_ = true;
+    publish();
+    expireSoon();
+    watch();
+}
+
+void DirectoryActor::listFailed()
+{
+    self_->delayed_send(self_, context_.retryDelay, RetryList::value);
+}
+
+void DirectoryActor::watch()
+{
+    auto call = context_.protocols.store->watch(watchedPrefix, revision_, context_.watchWait);
+    call.timeout = context_.watchWait + context_.watchGrace;
+    this->call(
+        context_.watchCaller, std::move(call),
+        [this](const HttpResponse &response) {
+            return context_.protocols.store->decodeChanges(response);
+        },
+        [this](const StoreChanges &changes) { handleChanges(changes); },
+        &DirectoryActor::watchFailed);
+}
+
+void DirectoryActor::handleChanges(const StoreChanges &changes)
+{
+    if (changes.historyLost) {
+        spdlog::warn("event=store_history_lost revision={}", revision_);
+        list({});
+        return;
+    }
+    for (const auto &[item, deleted] : changes.changes) {
+        if (deleted)
+            applyRemoval(item.key);
+        else
+            applyItem(item);
+    }
+    revision_ = std::max(revision_, changes.revision);
+    publish();
+    expireSoon();
+    watch();
+}
+
+void DirectoryActor::watchFailed()
+{
+    self_->delayed_send(self_, context_.retryDelay, RetryWatch::value);
+}
+
+void DirectoryActor::applyItem(const KeyValue &item)
+{
+    const auto &format = *context_.protocols.directory;
+    const std::string_view key = item.key;
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            if (key == format.configurationKey()) {
+                BOOST_LEAF_AUTO(configuration, format.decodeConfiguration(item.value));
+                const auto version = configuration.tables->version;
+                if (directory_.configurationRead(std::move(configuration))) {
+                    changed_ = true;
+                    spdlog::info("event=configuration_taken version={} revision={}", version,
+                                 item.modRevision);
+                }
+            } else if (key.starts_with(format.serversPrefix())) {
+                const auto id = key.substr(format.serversPrefix().size());
+                BOOST_LEAF_AUTO(server, format.decodeServer(id, item.value));
+                if (directory_.serverSeen(server)) {
+                    changed_ = true;
+                    spdlog::info("event=server_entry server={} service={} address={}:{} "
+                                 "primary={} leaving={} revision={}",
+                                 logValue(server.id), logValue(server.service), server.host,
+                                 server.port, server.primary, server.leaving, item.modRevision);
+                }
+            } else if (key.starts_with(proxiesPrefix)) {
+                changed_ = directory_.proxySeen(key.substr(proxiesPrefix.size())) || changed_;
+            } else if (key.starts_with(promotionsPrefix)) {
+                BOOST_LEAF_AUTO(record, decodePromotion(item.value, item.modRevision));
+                directory_.promotionSeen(record);
+                self_->send(context_.groups, PromotionRecorded{std::move(record)});
+            }
+            return {};
+        },
+        [&](const Failure &failure) {
+            // An entry that can't be read names no server to use.
+            if (key.starts_with(format.serversPrefix()))
+                applyRemoval(key);
+            ++badEntries_;
+            spdlog::warn("event=store_entry_ignored key={} revision={} reason={}", logValue(key),
+                         item.modRevision, logValue(failure.message));
+        },
+        [&] {
+            ++badEntries_;
+            spdlog::warn("event=store_entry_ignored key={} revision={} reason=unknown",
+                         logValue(key), item.modRevision);
+        });
+}
+
+void DirectoryActor::applyRemoval(std::string_view key)
+{
+    const auto now = context_.clock->now();
+    const auto prefix = context_.protocols.directory->serversPrefix();
+    if (key.starts_with(prefix)) {
+        const auto id = key.substr(prefix.size());
+        const bool removed = directory_.serverGone(id, now);
+        spdlog::info("event=server_entry_removed server={} kept={}", logValue(id), !removed);
+        changed_ = removed || changed_;
+    } else if (key.starts_with(proxiesPrefix)) {
+        changed_ = directory_.proxyGone(key.substr(proxiesPrefix.size()), now) || changed_;
+    }
+}
+
+void DirectoryActor::joinFleet()
+{
+    if (leaving_)
+        return;
+    auto call = context_.protocols.store->grantLease(context_.leaseDuration);
+    call.timeout = context_.callTimeout;
+    this->call(
+        context_.callCaller, std::move(call),
+        [this](const HttpResponse &response) {
+            return context_.protocols.store->decodeLease(response);
+        },
+        [this](std::uint64_t lease) {
+            lease_ = lease;
+            announce();
+        },
+        &DirectoryActor::leaseFailed);
+}
+
+void DirectoryActor::announce()
+{
+    const auto key = std::string(proxiesPrefix) + context_.vm;
+    auto call = context_.protocols.store->write(key, "{}", lease_, std::nullopt);
+    call.timeout = context_.callTimeout;
+    this->call(
+        context_.callCaller, std::move(call),
+        [this](const HttpResponse &response) {
+            return context_.protocols.store->decodeWrite(response);
+        },
+        [this](const StoreWrite &write) {
+            if (!write.written)
+                lease_ = 0;
+            self_->delayed_send(self_, context_.leaseRenewal, RenewLease::value);
+        },
+        &DirectoryActor::leaseFailed);
+}
+
+void DirectoryActor::renew()
+{
+    if (leaving_)
+        return;
+    auto call = context_.protocols.store->renewLease(lease_);
+    call.timeout = context_.callTimeout;
+    this->call(
+        context_.callCaller, std::move(call),
+        [this](const HttpResponse &response) {
+            return context_.protocols.store->decodeRenewal(response);
+        },
+        [this](bool renewed) {
+            if (renewed) {
+                self_->delayed_send(self_, context_.leaseRenewal, RenewLease::value);
+                return;
+            }
+            spdlog::warn("event=lease_lost lease={}", lease_);
+            lease_ = 0;
+            joinFleet();
+        },
+        &DirectoryActor::leaseFailed);
+}
+
+void DirectoryActor::leaseFailed()
+{
+    self_->delayed_send(self_, context_.leaseRenewal / 2, RenewLease::value);
+}
+
+void DirectoryActor::leaveFleet()
+{
+    leaving_ = true;
+    if (lease_ == 0)
+        return;
+    auto call = context_.protocols.store->endLease(std::exchange(lease_, 0));
+    call.timeout = context_.callTimeout;
+    self_->send(context_.callCaller, HttpCallRequest{std::move(call)});
+}
+
+void DirectoryActor::noteFailure(std::string_view call, std::string_view error)
+{
+    if (directory_.storeAvailable())
+        spdlog::warn("event=store_lost call={} error={}", logValue(call), logValue(error));
+    directory_.storeFailed(context_.clock->now());
+}
+
+void DirectoryActor::noteAnswer()
+{
+    if (!directory_.storeAvailable())
+        spdlog::info("event=store_regained");
+    directory_.storeAnswered(context_.clock->now());
+}
+
+void DirectoryActor::publish()
+{
+    if (!std::exchange(changed_, false))
+        return;
+    DirectoryChanged message;
+    if (directory_.configuration())
+        message.configuration =
+            std::make_shared<const OperatorConfiguration>(*directory_.configuration());
+    message.servers = std::make_shared<const std::vector<ServerRegistration>>(directory_.servers());
+    message.proxies = std::max<std::size_t>(directory_.proxyCount(), 1);
+    self_->send(context_.groups, std::move(message));
+}
+
+void DirectoryActor::expireSoon()
+{
+    if (expiryTimer_ || directory_.heldCount() == 0)
+        return;
+    expiryTimer_ = true;
+    self_->delayed_send(self_, expiryPace, ExpireEntries::value);
+}
+
+StateDump DirectoryActor::dump() const
+{
+    return {boost::json::object{
+        {"revision", revision_},
+        {"storeAvailable", directory_.storeAvailable()},
+        {"servers", directory_.servers().size()},
+        {"heldEntries", directory_.heldCount()},
+        {"badEntries", badEntries_},
+        {"proxies", directory_.proxyCount()},
+        {"configuration",
+         directory_.configuration() ? directory_.configuration()->tables->version : 0},
+    }};
+}
+
+} // namespace shallotwalk
--- /dev/null
+++ b/src/gateway/gatewaynode.cpp
@@ -0,0 +1,96 @@
+#include "gateway/gatewaynode.h"
+
+#include <spdlog/spdlog.h>
+
+namespace shallotwalk {
+
+namespace {
+
+using CloseIdle = caf::atom_constant<caf::atom("closeidle")>;
+using CloseAll = caf::atom_constant<caf::atom("closeall")>;
+using Exit = caf::atom_constant<caf::atom("exit")>;
+
+} // namespace
+
+ShutdownTimes ShutdownTimes::within(Duration grace)
+{
+    ShutdownTimes times;
+    times.closeIdle = std::min(times.closeIdle, grace * 3 / 8);
+    times.closeAll = grace * 9 / 16;
+    times.exit = grace * 3 / 4;
+    return times;
+}
+
+GatewayNode::GatewayNode(caf::actor_config &config, GatewayNodeContext context)
+    : caf::event_based_actor(config)
+    , context_(std::move(context))
+{
+    set_down_handler([this](caf::down_msg &message) {
+        if (!root_ || message.source != root_.address())
+            return;
+        spdlog::error("event=root_failed reason={}", logValue(system().render(message.reason)));
+        quit(caf::exit_reason::unhandled_exception);
+    });
+}
+
+caf::behavior GatewayNode::make_behavior()
+{
+    return {
+        [this](const WatchTree &message) {
+            root_ = message.root;
+            monitor(root_);
+        },
+        [this](const ServingChanged &message) {
+            serving_ = message.serving;
+            spdlog::info("event=readiness_changed ready={} reason={}", readiness().ready,
+                         logValue(readiness().reason));
+        },
+        [this](ReadinessRequest) { return readiness(); },
+        [this](ShutdownRequest) { beginShutdown(); },
+        [this](CloseIdle) {
+            closingSessions_ = true;
+            send(context_.sessions, CloseIdleSessions{});
+        },
+        [this](CloseAll) { send(context_.sessions, CloseAllSessions{}); },
+        [this](SessionsClosed) {
+            if (closingSessions_)
+                quit();
+        },
+        [this](Exit) { quit(); },
+        [this](StateDumpRequest) {
+            return StateDump{boost::json::object{{"ready", readiness().ready},
+                                                 {"reason", readiness().reason},
+                                                 {"shuttingDown", shuttingDown_}}};
+        },
+    };
+}
+
+void GatewayNode::on_exit()
+{
+    if (root_)
+        send_exit(root_, caf::exit_reason::user_shutdown);
+    root_ = nullptr;
+    context_ = {};
+}
+
+Readiness GatewayNode::readiness() const
+{
+    if (shuttingDown_)
+        return {false, "shutting down"};
+    if (!serving_)
+        return {false, "no configuration, or no backend server can be reached"};
+    return {true, {}};
+}
+
+void GatewayNode::beginShutdown()
+{
+    if (std::exchange(shuttingDown_, true))
+        return;
+    spdlog::info("event=shutdown_begun");
+    send(context_.directory, LeaveFleet{});
+    delayed_send(this, context_.shutdown.closeIdle, CloseIdle::value);
+    delayed_send(this, context_.shutdown.closeAll, CloseAll::value);
+    delayed_send(this, context_.shutdown.exit, Exit::value);
+}
+
+} // namespace shallotwalk
--- /dev/null
+++ b/src/gateway/gatewaytree.cpp
@@ -0,0 +1,193 @@
+#include "gateway/gatewaytree.h"
+
+#include "gateway/directoryactor.h"
+#include "gateway/groupsmanager.h"
+#include "gateway/httpcaller.h"
+#include "gateway/promotionactor.h"
+
+#include <caf/io/middleman.hpp>
+
+namespace shallotwalk {
+
+namespace {
+
+using Parent = caf::event_based_actor;
+
+constexpr std::size_t administrationConnectionLimit = 20;
+
+/// For files, listeners, the store, and the connections to backend servers.
+constexpr std::size_t reservedDescriptors = 700;
+
+/// Stable addresses of the children that others send to.
+struct GatewayRelays
+{
+    explicit GatewayRelays(caf::actor_system &system)
+        : watchCaller(system.spawn<Relay>("watchCaller"))
+        , storeCaller(system.spawn<Relay>("storeCaller"))
+        , platformCaller(system.spawn<Relay>("platformCaller"))
+        , directory(system.spawn<Relay>("directory"))
+        , promotions(system.spawn<Relay>("promotions"))
+        , groups(system.spawn<Relay>("groups"))
+        , sessions(system.spawn<Relay>("sessions"))
+        , root(system.spawn<Relay>("root"))
+    {
+    }
+
+    caf::actor watchCaller;
+    caf::actor storeCaller;
+    caf::actor platformCaller;
+    caf::actor directory;
+    caf::actor promotions;
+    caf::actor groups;
+    caf::actor sessions;
+    caf::actor root;
+};
+
+/// A child that runs as a broker, on the thread of the sockets.
+template<class Run, class... Arguments>
+ChildSpecification brokerChild(std::string name, caf::actor relay, Run run, Arguments... arguments)
+{
+    return {std::move(name),
+            [=](Parent *parent) {
+                return parent->system().middleman().spawn_broker(run, arguments...);
+            },
+            std::move(relay)};
+}
+
+/// Builds the child specifications, one branch at a time.
+class GatewayTree
+{
+public:
+    GatewayTree(GatewaySettings settings, GatewayProtocols protocols,
+                std::shared_ptr<const Clock> clock, GatewayRelays relays, caf::actor node)
+        : settings_(std::move(settings))
+        , protocols_(std::move(protocols))
+        , clock_(std::move(clock))
+        , relays_(std::move(relays))
+        , node_(std::move(node))
+    {
+    }
+
+    std::vector<ChildSpecification> children() const
+    {
+        std::vector<ChildSpecification> list{
+            brokerChild("watchCaller", relays_.watchCaller, &HttpCaller::run, settings_.store,
+                        clock_),
+            brokerChild("storeCaller", relays_.storeCaller, &HttpCaller::run, settings_.store,
+                        clock_),
+            brokerChild("platformCaller", relays_.platformCaller, &HttpCaller::run,
+                        settings_.platform, clock_),
+            promotions(),
+            groups(),
+            sessions(),
+            directory(),
+            http("readiness", settings_.readiness, {settings_.readinessPath, {}, {}}),
+        };
+        if (settings_.administration.port != 0) {
+            list.push_back(http("administration", settings_.administration,
+                                {{}, std::string(metricsPath), std::string(statePath)}));
+        }
+        return list;
+    }
+
+private:
+    ChildSpecification promotions() const
+    {
+        PromotionContext context;
+        context.vm = settings_.vm;
+        context.protocols = protocols_;
+        context.storeCaller = relays_.storeCaller;
+        context.platformCaller = relays_.platformCaller;
+        context.groups = relays_.groups;
+        context.clock = clock_;
+        return brokerChild("promotions", relays_.promotions, &PromotionActor::run, context);
+    }
+
+    ChildSpecification groups() const
+    {
+        GroupsContext context;
+        context.dataCentre = settings_.dataCentre;
+        context.protocols = protocols_;
+        context.directory = relays_.directory;
+        context.promotions = relays_.promotions;
+        context.sessions = relays_.sessions;
+        context.node = node_;
+        context.clock = clock_;
+        return brokerChild("groups", relays_.groups, &GroupsManager::run, context);
+    }
+
+    ChildSpecification sessions() const
+    {
+        auto clients = settings_.clients;
+        clients.sessionLimit = settings_.descriptorLimit > reservedDescriptors
+                                   ? settings_.descriptorLimit - reservedDescriptors
+                                   : 1;
+        auto context = std::make_shared<SessionContext>();
+        context->protocols = protocols_;
+        context->clock = clock_;
+        return brokerChild("sessions", relays_.sessions, &SessionListener::run, clients,
+                           std::shared_ptr<const SessionContext>(std::move(context)),
+                           relays_.groups, node_);
+    }
+
+    ChildSpecification directory() const
+    {
+        DirectoryContext context;
+        context.vm = settings_.vm;
+        context.protocols = protocols_;
+        context.watchCaller = relays_.watchCaller;
+        context.callCaller = relays_.storeCaller;
+        context.groups = relays_.groups;
+        context.clock = clock_;
+        return brokerChild("directory", relays_.directory, &DirectoryActor::run, context);
+    }
+
+    ChildSpecification http(std::string name, const HttpEndpoint &endpoint,
+                            const GatewayService::Paths &paths) const
+    {
+        auto context = std::make_shared<HttpConnectionContext>();
+        context->service = std::make_shared<GatewayService>(
+            paths, node_, relays_.root, std::vector<caf::actor>{relays_.groups, relays_.sessions});
+        context->clock = clock_;
+        const ListenerSettings listener{name, endpoint.host, endpoint.port,
+                                        administrationConnectionLimit};
+        return brokerChild(std::move(name), {}, &HttpListener::run, listener,
+                           std::shared_ptr<const HttpConnectionContext>(std::move(context)));
+    }
+
+    GatewaySettings settings_;
+    GatewayProtocols protocols_;
+    std::shared_ptr<const Clock> clock_;
+    GatewayRelays relays_;
+    caf::actor node_;
+};
+
+} // namespace
+
+void configureGateway(caf::actor_system_config &config)
+{
+    config.load<caf::io::middleman>();
+    // Work stealing wakes each idle worker about 200 times a second.
+    config.set("scheduler.policy", caf::atom("sharing"));
+    // The sockets' actors share one thread; few messages pass through the scheduler's.
+    config.set("scheduler.max-threads", 1);
+}
+
+caf::actor startGateway(caf::actor_system &system, const GatewaySettings &settings,
+                        const GatewayProtocols &protocols, std::shared_ptr<const Clock> clock)
+{
+    const GatewayRelays relays(system);
+    GatewayNodeContext context;
+    context.directory = relays.directory;
+    context.sessions = relays.sessions;
+    context.shutdown = ShutdownTimes::within(settings.grace);
+    context.clock = clock;
+    auto node = system.spawn<GatewayNode>(std::move(context));
+    const GatewayTree tree(settings, protocols, clock, relays, node);
+    const auto root = system.spawn<Supervisor>("root", tree.children(), clock, RestartRule{});
+    caf::anon_send(relays.root, ChildStarted{"root", root});
+    caf::anon_send(node, WatchTree{root});
+    return node;
+}
+
+} // namespace shallotwalk
--- /dev/null
+++ b/src/gateway/groupactor.cpp
@@ -0,0 +1,292 @@
+#include "gateway/groupactor.h"
+
+#include "wire/socketconnect.h"
+
+#include <spdlog/spdlog.h>
+
+#include <cerrno>
+
+namespace shallotwalk {
+
+namespace {
+
+using Tick = caf::atom_constant<caf::atom("tick")>;
+using OpenFailed = caf::atom_constant<caf::atom("openfailed")>;
+
+constexpr std::size_t readSize = 65536;
+/// Data that a server doesn't acknowledge for this long is lost with the connection.
+constexpr int userTimeoutMs = 3000;
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string toText(Position position)
+{
+    return std::to_string(position.term) + '.' + std::to_string(position.lsn);
+}
+
+} // namespace
+
+caf::behavior GroupActor::run(Broker *self, GroupContext context)
+{
+    return self->state.start(std::move(context));
+}
+
+caf::behavior GroupActor::start(GroupContext context)
+{
+    context_ = std::move(context);
+    scheduler_ = std::make_unique<GroupScheduler>(context_.scheduler, *this);
+    return {
+        [this](RunStatement &message) {
+            const auto number = message.request.number;
+            waiting_[number] = caf::actor_cast<caf::actor>(self_->current_sender());
+            scheduler_->submit(std::move(message.request), context_.clock->now());
+            afterEvent();
+        },
+        [this](const EndTransaction &message) {
+            scheduler_->endTransaction(message.session, context_.clock->now());
+            afterEvent();
+        },
+        [this](const caf::io::new_data_msg &message) { handleData(message); },
+        [this](const caf::io::connection_closed_msg &message) { handleClosed(message); },
+        [this](Tick) {
+            timerAt_ = TimePoint::max();
+            scheduler_->tick(context_.clock->now());
+            afterEvent();
+        },
+        [this](OpenFailed) {
+            for (const auto &key : std::exchange(failedToOpen_, {}))
+                scheduler_->connectionLost(key, "connect failed", context_.clock->now());
+            afterEvent();
+        },
+        [this](const GroupConfigured &message) { configure(message); },
+        [this](const PromotionRecorded &message) {
+            scheduler_->promotionSeen(message.record.server, context_.clock->now());
+            afterEvent();
+        },
+        [this](const PromotionFailed &message) {
+            scheduler_->promotionFailed(message.choice.server, context_.clock->now());
+            afterEvent();
+        },
+        [this](DrainRequest) { self_->quit(); },
+        [this](StateDumpRequest) { return dump(); },
+        [this](MetricsRequest) { return metrics(); },
+    };
+}
+
+void GroupActor::configure(const GroupConfigured &message)
+{
+    const auto now = context_.clock->now();
+    scheduler_->setTransactionIdleLimit(message.transactionIdleLimit);
+    scheduler_->setConnectionShare(message.connectionShare, now);
+    scheduler_->setServers(message.servers, now);
+    afterEvent();
+}
+
+void GroupActor::handleData(const caf::io::new_data_msg &message)
+{
+    const auto found = keys_.find(message.handle);
+    if (found == keys_.end())
+        return;
+    const auto key = found->second;
+    connections_.at(key).decoder->append(std::span(message.buf.data(), message.buf.size()));
+    const auto now = context_.clock->now();
+    for (;;) {
+        // A reply may close the connection.
+        const auto connection = connections_.find(key);
+        if (connection == connections_.end())
+            break;
+        auto next = connection->second.decoder->next();
+        if (!next)
+            break;
+        if (auto *reply = std::get_if<ServerReply>(&*next)) {
+            scheduler_->replied(key, std::move(*reply), now);
+            continue;
+        }
+        const auto &invalid = std::get<InvalidMessage>(*next);
+        spdlog::warn("event=server_reply_malformed service={} reason={}",
+                     logValue(context_.scheduler.service), logValue(invalid.reason));
+        closeConnection(key);
+        scheduler_->connectionLost(key, invalid.reason, now);
+    }
+    afterEvent();
+}
+
+void GroupActor::handleClosed(const caf::io::connection_closed_msg &message)
+{
+    const auto found = keys_.find(message.handle);
+    if (found == keys_.end())
+        return;
+    const auto key = found->second;
+    connections_.erase(key);
+    keys_.erase(found);
+    scheduler_->connectionLost(key, "closed by the server", context_.clock->now());
+    afterEvent();
+}
+
+/// Sets the timer for the next decision and reports changes.
+void GroupActor::afterEvent()
+{
+    const auto now = context_.clock->now();
+    const auto due = scheduler_->nextDue(now);
+    // An earlier timer that is still pending only leads to one more tick.
+    if (due < timerAt_) {
+        timerAt_ = due;
+        self_->delayed_send(self_, due - now, Tick::value);
+    }
+    const bool serving = scheduler_->canServe(now);
+    if (serving != serving_) {
+        serving_ = serving;
+        self_->send(context_.manager, ServingChanged{context_.scheduler.service, serving});
+    }
+    std::string primary;
+    for (const auto &[number, link] : scheduler_->servers()) {
+        if (link.primary)
+            primary = link.registration.id;
+    }
+    if (primary != primary_) {
+        spdlog::info("event=primary_changed service={} from={} to={} term={} reason={}",
+                     logValue(context_.scheduler.service), logValue(primary_), logValue(primary),
+                     scheduler_->watermarks().term(), logValue(scheduler_->suspicion()));
+        primary_ = primary;
+    }
+}
+
+void GroupActor::openConnection(ServerConnectionKey key, const ServerRegistration &server)
+{
+    const int descriptor = openConnectingSocket(server.host, server.port, userTimeoutMs);
+    if (descriptor < 0) {
+        spdlog::warn("event=connect_failed server={} address={}:{} errno={}", logValue(server.id),
+                     server.host, server.port, errno);
+        // The scheduler must not be called back before it has returned.
+        failedToOpen_.push_back(key);
+        self_->send(self_, OpenFailed::value);
+        return;
+    }
+    const auto handle = self_->add_scribe(descriptor);
+    self_->configure_read(handle, caf::io::receive_policy::at_most(readSize));
+    connections_[key] = {handle, context_.protocols.sessions->makeServerDecoder()};
+    keys_[handle] = key;
+    std::string bytes;
+    context_.protocols.sessions->encodeOpening(server, bytes);
+    self_->write(handle, bytes.size(), bytes.data());
+    self_->flush(handle);
+}
+
+void GroupActor::sendCommands(ServerConnectionKey key, std::span<const ServerCommand> commands)
+{
+    const auto found = connections_.find(key);
+    if (found == connections_.end())
+        return; // Its end is being reported.
+    std::string bytes;
+    for (const auto &command : commands)
+        context_.protocols.sessions->encode(command, bytes);
+    self_->write(found->second.handle, bytes.size(), bytes.data());
+    self_->flush(found->second.handle);
+}
+
+void GroupActor::closeConnection(ServerConnectionKey key)
+{
+    const auto found = connections_.find(key);
+    if (found == connections_.end())
+        return;
+    keys_.erase(found->second.handle);
+    self_->close(found->second.handle);
+    connections_.erase(found);
+}
+
+void GroupActor::answer(const GroupRequest &request, GroupAnswer answer)
+{
+    logOutcome(request, answer);
+    const auto found = waiting_.extract(request.number);
+    if (found.empty())
+        return;
+    self_->send(found.mapped(), StatementFinished{request.number, std::move(answer)});
+}
+
+void GroupActor::logOutcome(const GroupRequest &request, const GroupAnswer &answer) const
+{
+    const auto waited = milliseconds(context_.clock->now() - request.receivedAt);
+    if (!answer.answer.error) {
+        spdlog::debug("event=statement_served id={} session={} service={} server={} position={} "
+                      "committed={} ms={}",
+                      logValue(request.statement.id), request.session,
+                      logValue(context_.scheduler.service), logValue(answer.server),
+                      answer.answer.position ? toText(*answer.answer.position) : "-",
+                      answer.committed, waited);
+        return;
+    }
+    spdlog::info("event=statement_failed outcome={} id={} session={} service={} server={} route={} "
+                 "reason={} ms={} session_position={} watermark_age_ms={}",
+                 toString(*answer.answer.error), logValue(request.statement.id), request.session,
+                 logValue(context_.scheduler.service), logValue(answer.server),
+                 logValue(request.route), logValue(answer.answer.text), waited,
+                 toText(request.sessionPosition),
+                 milliseconds(context_.clock->now() - scheduler_->watermarks().newestAt()));
+}
+
+void GroupActor::orderPromotion(const PromotionChoice &choice)
+{
+    spdlog::warn("event=promotion_wanted service={} server={} reason={}", logValue(choice.service),
+                 logValue(choice.server), choice.reason);
+    self_->send(context_.promotions, OrderPromotion{choice});
+}
+
+StateDump GroupActor::dump() const
+{
+    boost::json::array servers;
+    const auto now = context_.clock->now();
+    for (const auto &[number, link] : scheduler_->servers()) {
+        servers.push_back(
+            boost::json::object{{"id", link.registration.id},
+                                {"primary", link.primary},
+                                {"leaving", link.leavingSince.has_value()},
+                                {"registered", link.registered},
+                                {"term", link.term},
+                                {"position", toText(link.position)},
+                                {"connections", link.connections.size()},
+                                {"connectionLimit", link.budget.limit()},
+                                {"busy", link.budget.busy()},
+                                {"queued", link.policy->queued()},
+                                {"silentMs", milliseconds(link.silence(now))},
+                                {"expectedResponseMs", milliseconds(link.response.expected(now))}});
+    }
+    return {boost::json::object{{"service", context_.scheduler.service},
+                                {"servers", std::move(servers)},
+                                {"openRequests", scheduler_->openRequests()},
+                                {"openTransactions", scheduler_->openTransactions()},
+                                {"primarySuspicion", scheduler_->suspicion()}}};
+}
+
+MetricsText GroupActor::metrics() const
+{
+    const auto &counters = scheduler_->counters();
+    const auto labels = "service=\"" + context_.scheduler.service + "\"";
+    auto text =
+        metricText("shallotwalk_statements_total", "counter", "Statements for a group.",
+                   counters.requests, labels)
+        + metricText("shallotwalk_statements_replica_total", "counter",
+                     "Statements answered by a replica.", counters.answeredByReplica, labels)
+        + metricText("shallotwalk_statements_primary_total", "counter",
+                     "Statements answered by the primary.", counters.answeredByPrimary, labels)
+        + metricText("shallotwalk_retries_total", "counter", "Statements that were sent again.",
+                     counters.retries, labels)
+        + metricText("shallotwalk_promotions_ordered_total", "counter",
+                     "Promotions that this proxy has asked for.", counters.promotionsOrdered,
+                     labels)
+        + metricText("shallotwalk_server_connections_opened_total", "counter",
+                     "Connections opened to backend servers.", counters.connectionsOpened, labels)
+        + metricText("shallotwalk_server_connections_lost_total", "counter",
+                     "Connections to backend servers that ended early.", counters.connectionsLost,
+                     labels);
+    for (const auto &[code, count] : counters.errors) {
+        text += metricText("shallotwalk_statement_errors_total", "counter",
+                           "Statements answered with an error.", count,
+                           labels + ",code=\"" + std::string(toString(code)) + "\"");
+    }
+    return {std::move(text)};
+}
+
+} // namespace shallotwalk
--- /dev/null
+++ b/src/gateway/groupsmanager.cpp
@@ -0,0 +1,226 @@
+#include "gateway/groupsmanager.h"
+
+#include <caf/io/middleman.hpp>
+
+#include <spdlog/spdlog.h>
+
+namespace shallotwalk {
+
+namespace {
+
+constexpr auto groupTimeout = std::chrono::milliseconds(900);
+
+/// Restarts the group of a pool after a delay.
+struct RestartGroup
+{
+    std::string pool;
+};
+
+/// Connections to each server of \a pool that one of \a proxies may hold.
+std::size_t connectionShare(const Pool &pool, std::size_t proxies)
+{
+    return std::max<std::size_t>(pool.connectionLimit / std::max<std::size_t>(proxies, 1), 1);
+}
+
+/// Answers of the groups to one question.
+template<class Answer>
+struct Collector
+{
+    caf::typed_response_promise<Answer> promise;
+    Answer answer;
+    std::size_t pending = 0;
+};
+
+} // namespace
+
+} // namespace shallotwalk
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::RestartGroup)
+
+namespace shallotwalk {
+
+caf::behavior GroupsManager::run(Broker *self, GroupsContext context)
+{
+    return self->state.start(std::move(context));
+}
+
+caf::behavior GroupsManager::start(GroupsContext context)
+{
+    context_ = std::move(context);
+    self_->set_down_handler([this](caf::down_msg &message) { handleDown(message); });
+    self_->send(context_.directory, DirectoryRequest{});
+    return {
+        [this](const DirectoryChanged &message) { update(message); },
+        [this](const RestartGroup &message) {
+            startGroup(message.pool);
+            publishRouting();
+        },
+        [this](const PromotionRecorded &message) {
+            self_->send(context_.promotions, message);
+            const auto found = groups_.find(message.record.service);
+            if (found != groups_.end())
+                self_->send(found->second, message);
+        },
+        [this](const PromotionFailed &message) {
+            const auto found = groups_.find(message.choice.service);
+            if (found != groups_.end())
+                self_->send(found->second, message);
+        },
+        [this](const ServingChanged &message) {
+            const bool before = !serving_.empty();
+            if (message.serving)
+                serving_.insert(message.pool);
+            else
+                serving_.erase(message.pool);
+            reportServing(before);
+        },
+        [this](RoutingRequest) { publishRouting(); },
+        [this](DrainRequest) {
+            for (const auto &[pool, group] : groups_)
+                self_->send(group, DrainRequest{});
+            self_->quit();
+        },
+        [this](MetricsRequest) { return collectMetrics(); },
+        [this](StateDumpRequest) { return collectState(); },
+    };
+}
+
+void GroupsManager::update(const DirectoryChanged &message)
+{
+    const bool newTables =
+        message.configuration
+        && (!directory_.configuration
+            || directory_.configuration->tables->version != message.configuration->tables->version);
+    directory_ = message;
+    if (!directory_.configuration)
+        return;
+    if (newTables)
+        router_ = std::make_shared<const Router>(directory_.configuration->tables);
+    // Pools that left the configuration keep their groups: routes may name them again, and open
+    // transactions go on.
+    for (const auto &pool : directory_.configuration->tables->pools) {
+        if (!groups_.contains(pool.name))
+            startGroup(pool.name);
+        else
+            configureGroup(pool.name);
+    }
+    if (newTables)
+        publishRouting();
+}
+
+void GroupsManager::startGroup(const std::string &pool)
+{
+    GroupContext context;
+    context.scheduler.service = pool;
+    context.scheduler.dataCentre = context_.dataCentre;
+    context.scheduler.makePolicy = [] { return std::make_unique<FairSharePolicy>(); };
+    context.protocols = context_.protocols;
+    context.promotions = context_.promotions;
+    context.manager = self_;
+    context.clock = context_.clock;
+    auto group = self_->system().middleman().spawn_broker(&GroupActor::run, context);
+    self_->monitor(group);
+    groups_[pool] = std::move(group);
+    configureGroup(pool);
+}
+
+void GroupsManager::configureGroup(const std::string &pool)
+{
+    const auto *row = directory_.configuration->tables->findPool(pool);
+    if (row == nullptr)
+        return;
+    GroupConfigured message;
+    for (const auto &server : *directory_.servers) {
+        if (server.service == pool)
+            message.servers.push_back(server);
+    }
+    message.connectionShare = connectionShare(*row, directory_.proxies);
+    message.transactionIdleLimit = directory_.configuration->transactionIdleLimit;
+    self_->send(groups_.at(pool), std::move(message));
+}
+
+void GroupsManager::handleDown(const caf::down_msg &message)
+{
+    const auto found = std::find_if(groups_.begin(), groups_.end(), [&](const auto &entry) {
+        return entry.second.address() == message.source;
+    });
+    if (found == groups_.end() || !message.reason)
+        return;
+    const auto pool = found->first;
+    const bool before = !serving_.empty();
+    groups_.erase(found);
+    serving_.erase(pool);
+    reportServing(before);
+    publishRouting();
+    const auto delay = limiter_.recordFailure(context_.clock->now());
+    spdlog::error("event=group_failed service={} reason={}", logValue(pool),
+                  logValue(self_->system().render(message.reason)));
+    if (delay)
+        self_->delayed_send(self_, *delay, RestartGroup{pool});
+    else
+        self_->quit(caf::exit_reason::unhandled_exception);
+}
+
+void GroupsManager::publishRouting()
+{
+    auto routing = std::make_shared<SessionRouting>();
+    routing->router = router_;
+    routing->groups = groups_;
+    self_->send(context_.sessions, RoutingChanged{std::move(routing)});
+}
+
+void GroupsManager::reportServing(bool before)
+{
+    if (before != !serving_.empty())
+        self_->send(context_.node, ServingChanged{{}, !before});
+}
+
+caf::result<MetricsText> GroupsManager::collectMetrics()
+{
+    auto collector = std::make_shared<Collector<MetricsText>>();
+    collector->promise = self_->make_response_promise<MetricsText>();
+    collector->pending = groups_.size();
+    collector->answer.text =
+        metricText("shallotwalk_proxies", "gauge", "Proxies of the fleet.", directory_.proxies);
+    const auto finish = [collector] {
+        if (--collector->pending == 0)
+            collector->promise.deliver(std::move(collector->answer));
+    };
+    if (groups_.empty())
+        collector->promise.deliver(collector->answer);
+    for (const auto &[pool, group] : groups_) {
+        self_->request(group, groupTimeout, MetricsRequest{})
+            .then(
+                [collector, finish](const MetricsText &metrics) {
+                    collector->answer.text += metrics.text;
+                    finish();
+                },
+                [finish](const caf::error &) { finish(); });
+    }
+    return collector->promise;
+}
+
+caf::result<StateDump> GroupsManager::collectState()
+{
+    auto collector = std::make_shared<Collector<StateDump>>();
+    collector->promise = self_->make_response_promise<StateDump>();
+    collector->pending = groups_.size();
+    collector->answer.state = boost::json::array{};
+    if (groups_.empty())
+        collector->promise.deliver(collector->answer);
+    for (const auto &[pool, group] : groups_) {
+        const auto finish = [collector](boost::json::value state) {
+            collector->answer.state.as_array().push_back(std::move(state));
+            if (--collector->pending == 0)
+                collector->promise.deliver(std::move(collector->answer));
+        };
+        self_->request(group, groupTimeout, StateDumpRequest{})
+            .then([finish](const StateDump &dump) { finish(dump.state); },
+                  [finish, pool = pool](const caf::error &) {
+                      finish(boost::json::object{{"service", pool}, {"error", "no answer"}});
+                  });
+    }
+    return collector->promise;
+}
+
+} // namespace shallotwalk
--- /dev/null
+++ b/src/gateway/httpcaller.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "gateway/messages.h"
+#include "supervision/supervision.h"
+
+#include <caf/io/broker.hpp>
+#include <caf/stateful_actor.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+
+namespace shallotwalk {
+
+/// State of the broker that owns one connection to an HTTP server and carries out calls on it, one
+/// after the other. It never repeats a call. After a call without an answer the connection is
+/// closed, so that a late answer can't be taken for that of a later call.
+class HttpCaller
+{
+public:
+    using Broker = caf::stateful_actor<HttpCaller, MailboxClosingBroker>;
+
+    explicit HttpCaller(Broker *self)
+        : self_(self)
+    {
+    }
+
+    /// Behaviour of the broker that calls \a endpoint.
+    static caf::behavior run(Broker *self, HttpEndpoint endpoint,
+                             std::shared_ptr<const Clock> clock);
+
+    static inline const char *name = "http-caller";
+
+private:
+    struct Parser;
+    struct Call
+    {
+        HttpCall call;
+        caf::typed_response_promise<HttpCallResult> promise;
+        TimePoint deadline;
+        std::uint64_t number = 0;
+    };
+
+    caf::behavior start(HttpEndpoint endpoint, std::shared_ptr<const Clock> clock);
+    caf::result<HttpCallResult> enqueue(HttpCall &call);
+    void sendNext();
+    bool connect();
+    void handleData(const caf::io::new_data_msg &message);
+    void checkTimeout(std::uint64_t number);
+    void fail(std::string_view error);
+    void closeConnection();
+
+    Broker *self_;
+    HttpEndpoint endpoint_;
+    std::shared_ptr<const Clock> clock_;
+    std::optional<caf::io::connection_handle> connection_;
+    std::shared_ptr<Parser> parser_; ///< Of the call in progress.
+    std::deque<Call> calls_;         ///< The first one is in progress if there is a parser.
+    std::uint64_t lastCall_ = 0;
+    std::uint64_t failures_ = 0;
+};
+
+} // namespace shallotwalk
--- /dev/null
+++ b/src/gateway/promotionactor.cpp
@@ -0,0 +1,154 @@
+#include "gateway/promotionactor.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <spdlog/spdlog.h>
+
+namespace shallotwalk {
+
+caf::behavior PromotionActor::run(Broker *self, PromotionContext context)
+{
+    return self->state.start(std::move(context));
+}
+
+caf::behavior PromotionActor::start(PromotionContext context)
+{
+    context_ = std::move(context);
+    return {
+        [this](const OrderPromotion &message) { record(message.choice); },
+        [this](const PromotionRecorded &message) {
+            auto &revision = revisions_[message.record.service];
+            revision = std::max(revision, message.record.revision);
+        },
+        [this](DrainRequest) { self_->quit(); },
+        [this](StateDumpRequest) {
+            return StateDump{boost::json::object{
+                {"inProgress", orders_.size()}, {"accepted", accepted_}, {"failed", failed_}}};
+        },
+    };
+}
+
+template<class Handle>
+void PromotionActor::call(const caf::actor &caller, HttpCall call, Duration timeout, Handle handle)
+{
+    call.timeout = timeout;
+    // The caller answers each call within its time; the margin covers its own delay.
+    self_->request(caller, 2 * timeout, HttpCallRequest{std::move(call)})
+        .then([handle](const HttpCallResult &result) { handle(result.response); },
+              [handle](const caf::error &) {
+                  handle(HttpResponse{0, {}, {}, {}, false});
+              });
+}
+
+std::string PromotionActor::nextNonce()
+{
+    const auto time = context_.clock->now().time_since_epoch().count();
+    return context_.vm + '-' + std::to_string(time) + '-' + std::to_string(++nonces_);
+}
+
+void PromotionActor::record(const PromotionChoice &choice)
+{
+    if (orders_.contains(choice.service))
+        return;
+    orders_[choice.service] = {choice, nextNonce(), 0, 0};
+    write(choice.service, revisions_[choice.service]);
+}
+
+void PromotionActor::write(const std::string &service, std::int64_t expectedRevision)
+{
+    const auto &order = orders_.at(service);
+    const PromotionRecord record{service, order.choice.server, context_.vm, order.nonce, 0};
+    const auto key = std::string(promotionsPrefix) + service;
+    call(context_.storeCaller,
+         context_.protocols.store->write(key, encodePromotion(record), 0, expectedRevision),
+         context_.storeTimeout, [this, service](const HttpResponse &response) {
+             if (response.status == 0) {
+                 verify(service);
+                 return;
+             }
+             boost::leaf::try_handle_all(
+                 [&]() -> Result<void> {
+                     BOOST_LEAF_AUTO(write, context_.protocols.store->decodeWrite(response));
+                     if (write.written) {
+                         orders_.at(service).token = write.revision;
+                         revisions_[service] = write.revision;
+                         this->order(service);
+                         return {};
+                     }
+                     if (write.present)
+                         revisions_[service] = write.present->modRevision;
+                     fail(service, "another proxy has recorded an order");
+                     return {};
+                 },
+                 [&](const Failure &failure) { fail(service, failure.message); },
+                 [&] { fail(service, "unknown error"); });
+         });
+}
+
+/// Finds out whether a write without an answer has taken effect.
+void PromotionActor::verify(const std::string &service)
+{
+    call(context_.storeCaller,
+         context_.protocols.store->read(std::string(promotionsPrefix) + service),
+         context_.storeTimeout, [this, service](const HttpResponse &response) {
+             boost::leaf::try_handle_all(
+                 [&]() -> Result<void> {
+                     BOOST_LEAF_AUTO(item, context_.protocols.store->decodeItem(response));
+                     if (!item) {
+                         fail(service, "the order was not recorded");
+                         return {};
+                     }
+                     BOOST_LEAF_AUTO(record, decodePromotion(item->value, item->modRevision));
+                     revisions_[service] = record.revision;
+                     if (record.nonce != orders_.at(service).nonce) {
+                         fail(service, "the order was not recorded");
+                         return {};
+                     }
+                     orders_.at(service).token = record.revision;
+                     this->order(service);
+                     return {};
+                 },
+                 [&](const Failure &failure) { fail(service, failure.message); },
+                 [&] { fail(service, "unknown error"); });
+         });
+}
+
+void PromotionActor::order(const std::string &service)
+{
+    auto &order = orders_.at(service);
+    ++order.attempts;
+    spdlog::warn("event=promotion_ordered service={} server={} token={} attempt={} reason={}",
+                 logValue(service), logValue(order.choice.server), order.token, order.attempts,
+                 order.choice.reason);
+    call(context_.platformCaller,
+         context_.protocols.promotions->promote(service, order.choice.server, context_.vm,
+                                                order.token),
+         context_.orderTimeout, [this, service](const HttpResponse &response) {
+             const auto answer = context_.protocols.promotions->decodeAnswer(response);
+             if (answer == PromotionAnswer::Accepted) {
+                 spdlog::info("event=promotion_accepted service={} server={} token={}",
+                              logValue(service), logValue(orders_.at(service).choice.server),
+                              orders_.at(service).token);
+                 ++accepted_;
+                 orders_.erase(service);
+             } else if (answer == PromotionAnswer::Refused) {
+                 fail(service, "the platform refused the order");
+             } else if (orders_.at(service).attempts < context_.orderAttempts) {
+                 this->order(service);
+             } else {
+                 fail(service, "the platform did not answer");
+             }
+         });
+}
+
+void PromotionActor::fail(const std::string &service, std::string_view reason)
+{
+    ++failed_;
+    auto failed = orders_.extract(service);
+    spdlog::warn("event=promotion_failed service={} server={} token={} reason={}",
+                 logValue(service), logValue(failed.mapped().choice.server), failed.mapped().token,
+                 logValue(reason));
+    self_->send(context_.groups, PromotionFailed{failed.mapped().choice});
+}
+
+} // namespace shallotwalk
--- /dev/null
+++ b/src/gateway/sessionactor.cpp
@@ -0,0 +1,222 @@
+#include "gateway/sessionactor.h"
+
+#include <spdlog/spdlog.h>
+
+#include <atomic>
+
+namespace shallotwalk {
+
+namespace {
+
+using CheckOpening = caf::atom_constant<caf::atom("chk_open")>;
+
+constexpr std::size_t readSize = 65536;
+/// Messages that may wait while one is being served.
+constexpr std::size_t pipelineLimit = std::size_t{2} * 1024 * 1024;
+
+RequestNumber nextRequest()
+{
+    static std::atomic<RequestNumber> last{0};
+    return ++last;
+}
+
+} // namespace
+
+caf::behavior SessionActor::run(Broker *self, caf::io::connection_handle connection,
+                                SessionNumber number, std::shared_ptr<const SessionRouting> routing,
+                                std::shared_ptr<const SessionContext> context)
+{
+    return self->state.start(connection, number, std::move(routing), std::move(context));
+}
+
+caf::behavior SessionActor::start(caf::io::connection_handle connection, SessionNumber number,
+                                  std::shared_ptr<const SessionRouting> routing,
+                                  std::shared_ptr<const SessionContext> context)
+{
+    connection_ = connection;
+    number_ = number;
+    routing_ = std::move(routing);
+    context_ = std::move(context);
+    decoder_ = context_->protocols.sessions->makeClientDecoder();
+    self_->configure_read(connection_, caf::io::receive_policy::at_most(readSize));
+    self_->delayed_send(self_, context_->openingLimit, CheckOpening::value);
+    return {
+        [this](const caf::io::new_data_msg &message) {
+            decoder_->append(std::span(message.buf.data(), message.buf.size()));
+            if (decoder_->buffered() > pipelineLimit)
+                refuse(AnswerCode::TooBig, "too many statements wait");
+            else
+                serveNext();
+        },
+        [this](const caf::io::connection_closed_msg &) { close(); },
+        [this](StatementFinished &message) { handleFinished(message); },
+        [this](const RoutingChanged &message) {
+            routing_ = message.routing;
+            if (opening_ && routing_->router)
+                open(*std::exchange(opening_, std::nullopt));
+        },
+        [this](CheckOpening) {
+            if (!session_)
+                refuse(AnswerCode::Malformed, "the session was not opened in time");
+        },
+        [this](CloseIdleSessions) {
+            closing_ = true;
+            closeIfIdle();
+        },
+        [this](CloseAllSessions) { close(); },
+        [this](DrainRequest) { close(); },
+    };
+}
+
+void SessionActor::serveNext()
+{
+    while (!closed_ && request_ == 0 && !opening_) {
+        auto message = decoder_->next();
+        if (!message)
+            break;
+        handle(std::move(*message));
+    }
+    closeIfIdle();
+}
+
+void SessionActor::handle(ClientMessage message)
+{
+    if (const auto *invalid = std::get_if<InvalidMessage>(&message)) {
+        handleInvalid(*invalid);
+    } else if (auto *opening = std::get_if<SessionOpening>(&message)) {
+        if (session_)
+            refuse(AnswerCode::Malformed, "the session is open already");
+        else if (routing_->router)
+            open(*opening);
+        else
+            opening_ = std::move(*opening);
+    } else if (std::holds_alternative<SessionClosing>(message)) {
+        close();
+    } else if (!session_) {
+        refuse(AnswerCode::Malformed, "the session is not open");
+    } else {
+        handleStatement(std::move(std::get<SessionStatement>(message)));
+    }
+}
+
+void SessionActor::open(const SessionOpening &opening)
+{
+    StatementRequest request;
+    request.caller = opening.user;
+    request.database = opening.database;
+    if (routing_->router->find(request) == nullptr) {
+        refuse(AnswerCode::NoDatabase, opening.database);
+        return;
+    }
+    session_ = std::make_unique<ClientSession>(number_, opening.user, opening.database);
+    SessionAnswer opened;
+    opened.opening = true;
+    send(opened);
+    serveNext();
+}
+
+void SessionActor::handleInvalid(const InvalidMessage &invalid)
+{
+    if (invalid.fatal || !session_) {
+        refuse(invalid.code, invalid.reason);
+        return;
+    }
+    SessionAnswer answer;
+    answer.error = invalid.code;
+    answer.text = invalid.reason;
+    answer.state = session_->state();
+    send(answer);
+}
+
+void SessionActor::handleStatement(SessionStatement statement)
+{
+    statement_ = statement.id;
+    const auto number = nextRequest();
+    auto step =
+        session_->handle(std::move(statement), *routing_->router, number, context_->clock->now());
+    if (step.endsTransaction && group_)
+        self_->send(group_, EndTransaction{number_});
+    if (step.answer) {
+        send(*step.answer);
+        return;
+    }
+    request_ = number;
+    if (step.request->scope != RequestScope::InTransaction || !group_)
+        group_ = groupOf(step.pool);
+    if (!group_) {
+        StatementFinished failed{number, {}};
+        failed.answer.answer.error = AnswerCode::Busy;
+        failed.answer.answer.text = "the pool is not being served";
+        if (step.request->scope != RequestScope::Single)
+            failed.answer.answer.state = TransactionState::Failed;
+        handleFinished(failed);
+        return;
+    }
+    self_->send(group_, RunStatement{std::move(*step.request)});
+}
+
+void SessionActor::handleFinished(StatementFinished &message)
+{
+    if (message.number != request_ || closed_)
+        return;
+    request_ = 0;
+    send(session_->complete(std::move(message.answer)));
+    serveNext();
+}
+
+caf::actor SessionActor::groupOf(const std::string &pool) const
+{
+    const auto found = routing_->groups.find(pool);
+    return found == routing_->groups.end() ? caf::actor() : found->second;
+}
+
+void SessionActor::send(const SessionAnswer &answer)
+{
+    std::string bytes;
+    context_->protocols.sessions->encode(answer, bytes);
+    write(bytes);
+}
+
+void SessionActor::refuse(AnswerCode code, std::string_view text)
+{
+    spdlog::info("event=session_refused session={} outcome={} reason={}", number_, toString(code),
+                 logValue(text));
+    std::string bytes;
+    context_->protocols.sessions->encodeRefusal(code, text, bytes);
+    write(bytes);
+    close();
+}
+
+void SessionActor::write(const std::string &bytes)
+{
+    if (closed_)
+        return;
+    self_->write(connection_, bytes.size(), bytes.data());
+    self_->flush(connection_);
+    if (self_->wr_buf(connection_).size() > context_->unsentLimit) {
+        spdlog::warn("event=session_closed session={} reason=\"the client does not read\"",
+                     number_);
+        close();
+    }
+}
+
+void SessionActor::closeIfIdle()
+{
+    const bool idle = request_ == 0 && !opening_ && decoder_->buffered() == 0
+                      && (!session_ || session_->state() == TransactionState::None);
+    if (closing_ && idle)
+        close();
+}
+
+void SessionActor::close()
+{
+    if (std::exchange(closed_, true))
+        return;
+    const bool open = session_ && (request_ != 0 || session_->state() == TransactionState::Open);
+    if (open && group_)
+        self_->send(group_, EndTransaction{number_});
+    self_->close(connection_);
+    self_->quit();
+}
+
+} // namespace shallotwalk
