--- a/src/core/groupscheduler.cpp
+++ b/src/core/groupscheduler.cpp
@@ -382,7 +382,7 @@
             continue;
         connection->request.reset();
         link->policy->abandoned(id, now);
-        ++counters_.retries;
+        noteRepetition(pending, std::nullopt);
         place(pending, now);
     }
 }
--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -173,6 +173,7 @@
                      const ServerReply &reply, TimePoint now);
     void noteError(ServerConnectionKey key, const Pending &pending, AnswerCode code, TimePoint now);
     bool mayRepeat(const Pending &pending, AnswerCode code, TimePoint now) const;
+    void noteRepetition(const Pending &pending, std::optional<AnswerCode> code);
     void notLeading(ServerLink &link, TimePoint now);
     void finish(Pending &pending, GroupAnswer answer);
     void finishWith(Pending &pending, AnswerCode code, std::string text);
--- a/src/core/groupscheduler_replies.cpp
+++ b/src/core/groupscheduler_replies.cpp
@@ -254,12 +254,19 @@
         finishWith(found->second, code, reply.errorText);
         return;
     }
-    ++counters_.retries;
+    noteRepetition(found->second, code);
     if (code == AnswerCode::Lagging || code == AnswerCode::ReadOnly)
         found->second.needsPrimary = true;
     place(found->second, now);
 }
 
+void GroupScheduler::noteRepetition(const Pending &pending, std::optional<AnswerCode> code)
+{
+    ++counters_.retries;
+    const auto *link = find(pending.place.server);
+    port_.repeated(pending.request, link == nullptr ? "" : link->registration.id, code);
+}
+
 void GroupScheduler::notLeading(ServerLink &link, TimePoint now)
 {
     if (!link.primary)
@@ -396,7 +403,7 @@
     }
     // Nothing is kept of a read, nor of a transaction whose commit was not sent.
     if (!late && pending.attempts < attemptLimit) {
-        ++counters_.retries;
+        noteRepetition(pending, std::nullopt);
         place(pending, now);
         return;
     }
--- a/src/gateway/groupactor.cpp
+++ b/src/gateway/groupactor.cpp
@@ -218,7 +218,7 @@
                       "committed={} ms={}",
                       logValue(request.statement.id), request.session,
                       logValue(context_.scheduler.service), logValue(answer.server),
-                      answer.answer.position ? toText(*answer.answer.position) : "-",
+                      logValue(answer.answer.position ? toText(*answer.answer.position) : "-"),
                       answer.committed, waited);
         return;
     }
@@ -227,10 +227,20 @@
                  toString(*answer.answer.error), logValue(request.statement.id), request.session,
                  logValue(context_.scheduler.service), logValue(answer.server),
                  logValue(request.route), logValue(answer.answer.text), waited,
-                 toText(request.sessionPosition),
+                 logValue(toText(request.sessionPosition)),
                  milliseconds(context_.clock->now() - scheduler_->watermarks().newestAt()));
 }
 
+void GroupActor::repeated(const GroupRequest &request, std::string_view server,
+                          std::optional<AnswerCode> code)
+{
+    spdlog::info("event=statement_repeated id={} session={} service={} server={} outcome={} ms={}",
+                 logValue(request.statement.id), request.session,
+                 logValue(context_.scheduler.service), logValue(server),
+                 code ? toString(*code) : "no_answer",
+                 milliseconds(context_.clock->now() - request.receivedAt));
+}
+
 void GroupActor::reportSuspicion(std::string_view server, bool suspected)
 {
     spdlog::info("event=primary_suspicion service={} server={} suspected={} reason={}",
--- a/tests/gateway/platformfleet.cpp
+++ b/tests/gateway/platformfleet.cpp
@@ -68,6 +68,16 @@
         PLATFORM_PROGRAM, std::vector<std::string>{"--settings", entry.settings->path()}, false);
 }
 
+void PlatformFleet::restartWithOutput(std::size_t proxy, int standardOutput)
+{
+    auto &entry = proxies_.at(proxy);
+    entry.process.reset();
+    entry.process = std::make_unique<ChildProcess>(
+        PLATFORM_PROGRAM,
+        std::vector<std::string>{"--settings", entry.settings->path(), "--log-level", "debug"},
+        standardOutput);
+}
+
 void PlatformFleet::configure(int version, const std::string &extraDatabase)
 {
     json::array routes{route("slots", "bounded_staleness"), route("rounds", "primary"),
--- a/tests/gateway/platformfleet.h
+++ b/tests/gateway/platformfleet.h
@@ -39,6 +39,9 @@
     /// Starts a proxy that has ended once more.
     void restart(std::size_t proxy);
 
+    /// The same, with every statement logged to \a standardOutput.
+    void restartWithOutput(std::size_t proxy, int standardOutput);
+
 private:
     struct Proxy
     {
--- a/tests/gateway/test_processes.cpp
+++ b/tests/gateway/test_processes.cpp
@@ -5,6 +5,9 @@
 #include <csignal>
 #include <thread>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 using namespace shallotwalk::test;
 using namespace std::chrono_literals;
 
@@ -249,6 +252,25 @@
     BOOST_TEST(client->query("READ item").ok());
 }
 
+// Guards against requests that wait for whoever reads the logs.
+BOOST_AUTO_TEST_CASE(stalled_reader_of_the_logs_stops_no_statement)
+{
+    PlatformFleet fleet(1);
+    int ends[2];
+    BOOST_REQUIRE(::pipe2(ends, O_CLOEXEC) == 0);
+    fleet.process(0).kill();
+    fleet.restartWithOutput(0, ends[1]); // Nobody reads.
+    BOOST_REQUIRE(fleet.waitUntilReady(0, 5s));
+    const auto client = fleet.client(0, "rounds");
+    // Each line takes about 200 bytes, and a pipe holds 64 KB.
+    for (int i = 0; i < 1000; ++i)
+        BOOST_REQUIRE(client->query("WRITE item data").ok());
+    ::kill(fleet.process(0).pid(), SIGTERM);
+    BOOST_TEST(fleet.process(0).waitForExit(6s));
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
 BOOST_AUTO_TEST_CASE(metrics_and_state_are_served)
 {
     PlatformFleet fleet(1);
--- a/tests/sessions/fakeport.h
+++ b/tests/sessions/fakeport.h
@@ -12,6 +12,12 @@
 class FakePort : public GroupPort
 {
 public:
+    struct Repetition
+    {
+        RequestNumber number = 0;
+        std::string server;
+        std::optional<AnswerCode> code;
+    };
     struct Sent
     {
         ServerConnectionKey key;
@@ -33,6 +39,11 @@
         answers[request.number] = std::move(answer);
         ++answerCount[request.number];
     }
+    void repeated(const GroupRequest &request, std::string_view server,
+                  std::optional<AnswerCode> code) override
+    {
+        repetitions.push_back({request.number, std::string(server), code});
+    }
     void reportSuspicion(std::string_view server, bool suspected) override
     {
         suspicions.emplace_back(server, suspected);
@@ -45,6 +56,7 @@
     std::vector<ServerConnectionKey> closed;
     std::map<RequestNumber, GroupAnswer> answers;
     std::map<RequestNumber, int> answerCount;
+    std::vector<Repetition> repetitions;
     std::vector<std::pair<std::string, bool>> suspicions;
     std::vector<PromotionChoice> promotions;
 };
--- a/tests/sessions/test_groupscheduler.cpp
+++ b/tests/sessions/test_groupscheduler.cpp
@@ -108,6 +108,8 @@
     port.sent.clear();
     reply(sent.front().key, error(AnswerCode::Lagging));
     BOOST_TEST(!port.answers.contains(1));
+    BOOST_REQUIRE(port.repetitions.size() == 1);
+    BOOST_TEST((port.repetitions.front().code == AnswerCode::Lagging));
     BOOST_TEST(onlyServer(port) == "p");
     serve("p");
     BOOST_TEST(!port.answers.at(1).answer.error.has_value());
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -44,14 +44,7 @@
     int ends[2];
     if (pipe2(ends, O_CLOEXEC) != 0)
         throw std::runtime_error("pipe failed");
-    std::vector<char *> list{const_cast<char *>(program.c_str())};
-    for (const auto &argument : arguments)
-        list.push_back(const_cast<char *>(argument.c_str()));
-    list.push_back(nullptr);
-    const pid_t parent = getpid();
-    pid_ = fork();
-    if (pid_ == 0)
-        runProgram(ends[1], parent, list.data());
+    start(program, arguments, ends[1]);
     close(ends[1]);
     output_ = ends[0];
     if (pid_ > 0 && (!listens || readPort(wait))) {
@@ -63,11 +56,34 @@
     throw std::runtime_error(program + " did not print a port");
 }
 
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
+                           int standardOutput)
+{
+    start(program, arguments, standardOutput);
+    if (pid_ < 0)
+        throw std::runtime_error("fork failed");
+}
+
+void ChildProcess::start(const std::string &program, const std::vector<std::string> &arguments,
+                         int standardOutput)
+{
+    std::vector<char *> list{const_cast<char *>(program.c_str())};
+    for (const auto &argument : arguments)
+        list.push_back(const_cast<char *>(argument.c_str()));
+    list.push_back(nullptr);
+    const pid_t parent = getpid();
+    pid_ = fork();
+    if (pid_ == 0)
+        runProgram(standardOutput, parent, list.data());
+}
+
 ChildProcess::~ChildProcess()
 {
     kill();
-    reader_.join();
-    close(output_);
+    if (reader_.joinable())
+        reader_.join();
+    if (output_ >= 0)
+        close(output_);
 }
 
 void ChildProcess::discardOutput()
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -22,6 +22,10 @@
                  bool listens = true,
                  std::chrono::milliseconds wait = std::chrono::milliseconds(10000));
 
+    /// Starts \a program with \a standardOutput as its output, which stays the caller's.
+    ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
+                 int standardOutput);
+
     /// Kills the child if it still runs.
     ~ChildProcess();
 
@@ -50,6 +54,8 @@
     int exitCode() const { return exitCode_; }
 
 private:
+    void start(const std::string &program, const std::vector<std::string> &arguments,
+               int standardOutput);
     bool readPort(std::chrono::milliseconds wait);
     void discardOutput();
     void recordExit(int status);
