Keep removed pools' groups informed, and tidy what a read of the change found

- Groups of pools that left the configuration kept their old list of servers; they get it now.
- A group that is restarted learns the promotions that were recorded before.
- A group is no longer without a primary for good when the server promoted last has left the list (server_ahead_may_be_promoted_once_the_promoted_one_is_gone).

--- a/src/core/directory.cpp
+++ b/src/core/directory.cpp
@@ -49,10 +49,13 @@
         known = std::move(record);
 }
 
-const PromotionRecord *Directory::promotion(std::string_view service) const
+std::vector<PromotionRecord> Directory::promotions() const
 {
-    const auto found = promotions_.find(service);
-    return found == promotions_.end() ? nullptr : &found->second;
+    std::vector<PromotionRecord> records;
+    records.reserve(promotions_.size());
+    for (const auto &[service, record] : promotions_)
+        records.push_back(record);
+    return records;
 }
 
 void Directory::suspicionSeen(std::string_view service, std::string_view vm,
--- a/src/core/directory.h
+++ b/src/core/directory.h
@@ -88,7 +88,8 @@
     const std::optional<OperatorConfiguration> &configuration() const { return configuration_; }
     std::vector<ServerRegistration> servers() const;
     std::size_t proxyCount() const { return proxies_.size(); }
-    const PromotionRecord *promotion(std::string_view service) const;
+    /// The last promotion of each service.
+    std::vector<PromotionRecord> promotions() const;
     std::size_t heldCount() const;
 
 private:
--- a/src/core/groupscheduler.cpp
+++ b/src/core/groupscheduler.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Attempts of one request on servers, the first included.
-constexpr unsigned attemptLimit = 4;
-
 /// Reads that replicas could serve leave room on the primary for work that only it can do.
 constexpr double primaryCostFactor = 1.25;
 
@@ -136,6 +133,8 @@
     item.queueLimit = queueLimit;
     item.arrival = request.receivedAt;
     item.deadline = request.deadline;
+    // What could be served only after its goal is refused. The time that a statement has waited for
+    // a server to be reached isn't held against it.
     if (request.goal > Duration::zero())
         item.deadline = std::min(item.deadline, std::max(request.receivedAt, now) + request.goal);
     auto capacity = link.capacity();
@@ -326,7 +325,7 @@
         auto &pending = running->second;
         if (pending.stage == Pending::Stage::Running) {
             const auto key = pending.place;
-            pending.attempts = attemptLimit;
+            pending.attempts = settings_.attemptLimit;
             if (pending.request.scope != RequestScope::Single)
                 breakConnection(key, "its client has left", now);
             return;
@@ -372,7 +371,7 @@
     for (const auto &[id, pending] : requests_) {
         const bool read = pending.request.scope == RequestScope::Single && pending.request.readOnly;
         if (pending.stage == Pending::Stage::Running && pending.place.server == number && read
-            && !pending.needsPrimary && pending.attempts < attemptLimit)
+            && !pending.needsPrimary && pending.attempts < settings_.attemptLimit)
             moved.push_back(id);
     }
     for (const auto id : moved) {
--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -35,9 +35,8 @@
     Duration failoverPatience{std::chrono::milliseconds(1500)};
     /// For the opening of a connection: several round trips and the server's own time.
     Duration openTimeout{std::chrono::milliseconds(1000)};
-    /// A statement that can't start within this share of its goal is refused, so that the client
-    /// can turn to another proxy while the answer still has value.
-    double waitShare = 0.5;
+    /// Attempts of one request on servers, the first included.
+    unsigned attemptLimit = 4;
     /// Before a request's deadline, for the refusal to reach the client.
     Duration refusalMargin{std::chrono::milliseconds(30)};
     /// A transaction without statements for longer is rolled back; 0: never.
--- a/src/core/groupscheduler_replies.cpp
+++ b/src/core/groupscheduler_replies.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr unsigned attemptLimit = 4;
-
 /// A replica that was behind is not asked for newer data before.
 constexpr Duration laggingPause = std::chrono::milliseconds(100);
 
@@ -178,7 +176,8 @@
         connection.session.reset();
     }
     finish(pending, std::move(answer));
-    if (ended && find(key)->outstanding.empty())
+    const auto *used = find(key);
+    if (ended && used != nullptr && used->outstanding.empty())
         release(key, now);
     else if (!ended)
         pump(key.server, now);
@@ -212,7 +211,8 @@
     const auto &request = pending.request;
     if (request.scope == RequestScope::InTransaction || !promisesNoRun(code))
         return false;
-    return pending.attempts < attemptLimit && now + settings_.refusalMargin < request.deadline;
+    return pending.attempts < settings_.attemptLimit
+           && now + settings_.refusalMargin < request.deadline;
 }
 
 void GroupScheduler::handleError(ServerConnectionKey key, Pending &pending, AnswerCode code,
@@ -222,7 +222,7 @@
     const auto &request = pending.request;
     const auto number = request.number;
     if (request.scope == RequestScope::InTransaction && code == AnswerCode::NotPrepared
-        && reply.state == TransactionState::Open && pending.attempts < attemptLimit) {
+        && reply.state == TransactionState::Open && pending.attempts < settings_.attemptLimit) {
         auto again = std::move(pending.request);
         const auto attempts = pending.attempts;
         requests_.erase(number);
@@ -402,7 +402,7 @@
         return;
     }
     // Nothing is kept of a read, nor of a transaction whose commit was not sent.
-    if (!late && pending.attempts < attemptLimit) {
+    if (!late && pending.attempts < settings_.attemptLimit) {
         noteRepetition(pending, std::nullopt);
         place(pending, now);
         return;
--- a/src/core/groupscheduler_servers.cpp
+++ b/src/core/groupscheduler_servers.cpp
@@ -317,9 +317,11 @@
     const auto promoted = std::find_if(servers_.begin(), servers_.end(), [&](const auto &entry) {
         return entry.second.registration.id == lastPromotion_->server;
     });
+    // Without it nobody could ever tell, and a group must not stay without a primary for good.
+    if (promoted == servers_.end())
+        return false;
     // A replica of the old term was not promoted.
-    return promoted == servers_.end() || promoted->second.primary
-           || promoted->second.term > link.received.term
+    return promoted->second.primary || promoted->second.term > link.received.term
            || now - promoted->second.reportedAt > settings_.failover.reportAge;
 }
 
--- a/src/gateway/directoryactor.cpp
+++ b/src/gateway/directoryactor.cpp
@@ -343,6 +343,9 @@
     message.servers = std::make_shared<const std::vector<ServerRegistration>>(directory_.servers());
     message.proxies = std::max<std::size_t>(directory_.proxyCount(), 1);
     self_->send(context_.groups, std::move(message));
+    // A group that has just started doesn't know earlier promotions.
+    for (auto &record : directory_.promotions())
+        self_->send(context_.groups, PromotionRecorded{std::move(record)});
     // The agreement depends on the number of proxies.
     for (const auto &service : directory_.suspectedServices())
         publishSuspicions(service);
--- a/src/gateway/groupactor.h
+++ b/src/gateway/groupactor.h
@@ -46,10 +46,6 @@
         caf::io::connection_handle handle;
         std::unique_ptr<ServerDecoder> decoder;
     };
-    struct Waiting
-    {
-        caf::actor session;
-    };
 
     caf::behavior start(GroupContext context);
     void configure(const GroupConfigured &message);
--- a/src/gateway/groupsmanager.cpp
+++ b/src/gateway/groupsmanager.cpp
@@ -63,6 +63,8 @@
         [this](const RestartGroup &message) {
             startGroup(message.pool);
             publishRouting();
+            // For the promotions that the new group doesn't know.
+            self_->send(context_.directory, DirectoryRequest{});
         },
         [this](const PromotionRecorded &message) {
             self_->send(context_.promotions, message);
@@ -112,11 +114,13 @@
         router_ = std::make_shared<const Router>(directory_.configuration->tables);
     // Pools that left the configuration keep their groups: routes may name them again, and open
     // transactions go on.
-    for (const auto &pool : directory_.configuration->tables->pools) {
-        if (!groups_.contains(pool.name))
-            startGroup(pool.name);
+    for (const auto &pool : directory_.configuration->tables->pools)
+        pools_.insert_or_assign(pool.name, pool);
+    for (const auto &[name, pool] : pools_) {
+        if (!groups_.contains(name))
+            startGroup(name);
         else
-            configureGroup(pool.name);
+            configureGroup(name);
     }
     if (newTables)
         publishRouting();
@@ -141,15 +145,12 @@
 
 void GroupsManager::configureGroup(const std::string &pool)
 {
-    const auto *row = directory_.configuration->tables->findPool(pool);
-    if (row == nullptr)
-        return;
     GroupConfigured message;
     for (const auto &server : *directory_.servers) {
         if (server.service == pool)
             message.servers.push_back(server);
     }
-    message.connectionShare = connectionShare(*row, directory_.proxies);
+    message.connectionShare = connectionShare(pools_.at(pool), directory_.proxies);
     message.transactionIdleLimit = directory_.configuration->transactionIdleLimit;
     self_->send(groups_.at(pool), std::move(message));
 }
--- a/src/gateway/groupsmanager.h
+++ b/src/gateway/groupsmanager.h
@@ -61,6 +61,7 @@
     DirectoryChanged directory_;
     std::shared_ptr<const Router> router_;
     std::map<std::string, caf::actor, std::less<>> groups_; ///< By pool.
+    std::map<std::string, Pool, std::less<>> pools_; ///< As last configured, also those that left.
     std::set<std::string, std::less<>> serving_;
 };
 
--- a/src/gateway/sessionactor.cpp
+++ b/src/gateway/sessionactor.cpp
@@ -130,7 +130,6 @@
 
 void SessionActor::handleStatement(SessionStatement statement)
 {
-    statement_ = statement.id;
     const auto number = nextRequest();
     auto step =
         session_->handle(std::move(statement), *routing_->router, number, context_->clock->now());
--- a/src/gateway/sessionactor.h
+++ b/src/gateway/sessionactor.h
@@ -66,7 +66,6 @@
     std::unique_ptr<ClientSession> session_;
     RequestNumber request_ = 0; ///< Outstanding; 0: none.
     caf::actor group_;          ///< Of the transaction in progress.
-    std::string statement_;     ///< Id of the outstanding statement, for logs.
     bool closing_ = false;
     bool closed_ = false;
 };
--- a/tests/sessions/test_directory.cpp
+++ b/tests/sessions/test_directory.cpp
@@ -90,7 +90,8 @@
 {
     directory.promotionSeen({"bookings", "a", "x", "n", {1, 5}, 9});
     directory.promotionSeen({"bookings", "b", "y", "n", {1, 4}, 8});
-    BOOST_TEST(directory.promotion("bookings")->server == "a");
+    BOOST_REQUIRE(directory.promotions().size() == 1);
+    BOOST_TEST(directory.promotions().front().server == "a");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/sessions/test_groupscheduler.cpp
+++ b/tests/sessions/test_groupscheduler.cpp
@@ -389,6 +389,22 @@
     BOOST_TEST(port.promotions.front().server == "r2");
 }
 
+// Guards against a group without a primary for good: the promoted server has left and can't tell
+// whether it ever led.
+BOOST_AUTO_TEST_CASE(server_ahead_may_be_promoted_once_the_promoted_one_is_gone)
+{
+    sampleWatermark();
+    scheduler.promotionSeen({"bookings", "r1", "other", "n", {1, 100}, 7}, now);
+    const std::vector servers{registration("r2")};
+    scheduler.setServers(servers, now);
+    for (int i = 0; i < 500 && port.promotions.empty(); ++i) {
+        wait(10ms);
+        serve("r2", {1, 127});
+    }
+    BOOST_REQUIRE(!port.promotions.empty());
+    BOOST_TEST(port.promotions.front().server == "r2");
+}
+
 // Found by scale-1 of lakour-skip: two proxies waited 1.6 s for a report of the new primary because
 // all their connections were busy.
 BOOST_AUTO_TEST_CASE(new_primary_is_taken_at_its_claim)
