--- a/src/core/groupscheduler_servers.cpp
+++ b/src/core/groupscheduler_servers.cpp
@@ -180,7 +180,7 @@
 void GroupScheduler::keepConnected(ServerNumber number, TimePoint now)
 {
     auto *link = find(number);
-    if (link == nullptr || !usable(*link, now))
+    if (link == nullptr)
         return;
     std::vector<ServerConnectionKey> stuck;
     for (const auto &[id, connection] : link->connections) {
@@ -194,7 +194,7 @@
         link->failed(now);
         breakConnection(key, "no answer to a command of the proxy", now);
     }
-    if (!link->connections.empty())
+    if (!link->connections.empty() || !usable(*link, now))
         return;
     const auto step = link->budget.acquire(link->registration.id, now);
     if (const auto *opening = std::get_if<OpenConnection>(&step))
@@ -315,7 +315,7 @@
     if (!beyond || link.received.term > lastPromotion_->position.term)
         return false;
     const auto promoted = std::find_if(servers_.begin(), servers_.end(), [&](const auto &entry) {
-        return entry.second.registration.id == lastPromotion_->server;
+        return entry.second.registration.id == lastPromotion_->server && entry.second.registered;
     });
     // Without it nobody could ever tell, and a group must not stay without a primary for good.
     if (promoted == servers_.end())
