--- a/tests/standins/platform/databaseserver.cpp
+++ b/tests/standins/platform/databaseserver.cpp
@@ -204,7 +204,7 @@
         // The row shows the session's values too, so that a test sees those of another client.
         auto row = group_.read(id_, rest).first;
         for (const auto &[name, value] : session.values)
-            row += ' ' + name + '=' + value;
+            row.append(" ").append(name).append("=").append(value);
         return "ROW " + row + "\r\nDONE r." + statement + "\r\n";
     }
     const auto item = take(rest);
