Don't touch a server that was just forgotten

Cause: retireServer read the connections of a server after closeSurplus had erased it, when its last idle connection was closed with it. AddressSanitizer reported it as a use after free in server_ahead_may_be_promoted_once_the_promoted_one_is_gone; the plain build passed the same test. After: test_sessions and test_gateway (its proxies included) are clean under AddressSanitizer.

--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -193,6 +193,8 @@
     void updateServer(ServerNumber number, const ServerRegistration &registration, TimePoint now);
     void retireServer(ServerNumber number, TimePoint now);
     void requeueFrom(ServerNumber number, TimePoint now);
+    /// Closes idle connections beyond the share, and forgets a server that has left once it has
+    /// none.
     void closeSurplus(ServerNumber number, TimePoint now);
     void keepConnected(ServerNumber number, TimePoint now);
     void reviewPrimary(TimePoint now);
--- a/src/core/groupscheduler_servers.cpp
+++ b/src/core/groupscheduler_servers.cpp
@@ -115,8 +115,6 @@
     }
     requeueFrom(number, now);
     closeSurplus(number, now);
-    if (link.connections.empty())
-        servers_.erase(number);
 }
 
 void GroupScheduler::requeueFrom(ServerNumber number, TimePoint now)
