Remove an unused setting and a second check for idle connections

Found in a last read of the change: the scheduler's data centre and ConnectionContent::holds were never used, and closeSurplus and ask tested a connection for idleness each on its own. Behaviour is unchanged. Checked: format, build of the program, test_sessions and test_gateway; nothing else.

--- a/src/core/connectioncontent.h
+++ b/src/core/connectioncontent.h
@@ -22,9 +22,6 @@
     /// The server doesn't know \a prepared any more.
     void forget(const PreparedStatement &prepared) { prepared_.erase(prepared); }
 
-    /// Whether prepareFor() needs no command for \a values.
-    bool holds(const SessionValues &values) const { return values_ == values; }
-
     /// Name of \a prepared on every connection: the same for all clients. Thread-safe.
     static std::string nameOf(const PreparedStatement &prepared);
 
--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -21,7 +21,6 @@
 struct GroupSchedulerSettings
 {
     std::string service;
-    std::string dataCentre; ///< Of this proxy.
     FailoverSettings failover;
     /// Between questions to an idle primary, whose answers bound the staleness of replicas.
     Duration primaryProbeInterval{std::chrono::milliseconds(400)};
--- a/src/core/groupscheduler_servers.cpp
+++ b/src/core/groupscheduler_servers.cpp
@@ -150,9 +150,7 @@
         const bool surplus = left > limit;
         if (!surplus && (left <= 1 || now - connection.lastUsed < idleConnectionLimit))
             continue;
-        const bool idle = connection.open && connection.outstanding.empty() && !connection.session
-                          && !connection.request;
-        if (idle && link->budget.take(id))
+        if (connection.idle() && link->budget.take(id))
             closed.push_back(id);
     }
     for (const auto id : closed) {
@@ -204,9 +202,7 @@
 {
     auto &link = servers_.at(number);
     for (auto &[id, connection] : link.connections) {
-        const bool idle = connection.open && connection.outstanding.empty() && !connection.session
-                          && !connection.request;
-        if (!idle || !link.budget.take(id))
+        if (!connection.idle() || !link.budget.take(id))
             continue;
         send({number, id}, connection, commands, kinds, now);
         return true;
--- a/src/core/serverlink.h
+++ b/src/core/serverlink.h
@@ -45,6 +45,9 @@
     std::vector<ServerCommand> afterBegin;
     bool guarded = false; ///< The statement runs in a transaction that only a leader accepts.
     TimePoint lastUsed;
+
+    /// Whether a request or a question may use it now.
+    bool idle() const { return open && outstanding.empty() && !session && !request; }
 };
 
 /// Everything known of one backend server of a group, with its connections and the requests that
--- a/src/gateway/gatewaytree.cpp
+++ b/src/gateway/gatewaytree.cpp
@@ -106,7 +106,6 @@
     ChildSpecification groups() const
     {
         GroupsContext context;
-        context.dataCentre = settings_.dataCentre;
         context.protocols = protocols_;
         context.directory = relays_.directory;
         context.promotions = relays_.promotions;
--- a/src/gateway/groupsmanager.cpp
+++ b/src/gateway/groupsmanager.cpp
@@ -130,7 +130,6 @@
 {
     GroupContext context;
     context.scheduler.service = pool;
-    context.scheduler.dataCentre = context_.dataCentre;
     context.scheduler.makePolicy = [] { return std::make_unique<FairSharePolicy>(); };
     context.protocols = context_.protocols;
     context.promotions = context_.promotions;
--- a/src/gateway/groupsmanager.h
+++ b/src/gateway/groupsmanager.h
@@ -12,7 +12,6 @@
 /// What a GroupsManager works with.
 struct GroupsContext
 {
-    std::string dataCentre; ///< Of this proxy.
     GatewayProtocols protocols;
     caf::actor directory;
     caf::actor promotions;
--- a/tests/sessions/groupfixture.cpp
+++ b/tests/sessions/groupfixture.cpp
@@ -10,7 +10,6 @@
 {
     GroupSchedulerSettings settings;
     settings.service = "bookings";
-    settings.dataCentre = "nord";
     settings.makePolicy = [] { return std::make_unique<FairSharePolicy>(); };
     return settings;
 }
