Pause replicas before a promotion where they confirm commits

Cause: with sync_replicas 1 a commit is acknowledged once one replica has received it. The choice of the successor used reports of up to 500 ms of age, so a commit that the other replica had received since could be missing at the promoted one (README listed it as a known limit).

Change: PromotionPlanner asks for a pause of all replicas for the next term, leaving ones included, and chooses only among paused ones, the one that received most; nothing is paused while a replica that may hold commits gives no recent report. A pause is not taken back before a new term leads, since another proxy's choice may rest on it; paused replicas lead to a promotion by themselves, also when the proxy that paused them has ended. After it a replica that is still paused is resumed.

--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -74,6 +74,9 @@
     /// Connections that this proxy may hold to each server.
     void setConnectionShare(std::size_t share, TimePoint now);
 
+    /// A commit is acknowledged once \a count replicas have received it.
+    void setConfirmReplicas(std::uint32_t count);
+
     void setTransactionIdleLimit(Duration limit) { settings_.transactionIdleLimit = limit; }
 
     void submit(GroupRequest request, TimePoint now);
@@ -165,6 +168,7 @@
     void handleStatement(ServerConnectionKey key, ServerReply reply, TimePoint sentAt,
                          TimePoint now);
     void handleReport(ServerLink &link, const ServerReply &reply, TimePoint now);
+    void resumeReplica(ServerNumber number, TimePoint now);
     void discardReply(ServerConnectionKey key, const ServerReply &reply, TimePoint now);
     void handleSuccess(ServerConnectionKey key, Pending &pending, ServerReply reply, TimePoint now);
     void handleError(ServerConnectionKey key, Pending &pending, AnswerCode code,
@@ -187,6 +191,9 @@
     ServerConnection *find(ServerConnectionKey key);
     std::optional<ServerNumber> primary() const;
     bool usable(const ServerLink &link, TimePoint now) const;
+    /// Whether the state of a server matters, though it may get no more work.
+    bool observed(const ServerLink &link, TimePoint now) const;
+    Term newestTerm() const;
     bool primaryInDoubt(TimePoint now) const;
     void becomePrimary(ServerNumber number, Term term, TimePoint now);
     void updateServer(ServerNumber number, const ServerRegistration &registration, TimePoint now);
@@ -227,6 +234,8 @@
         awaitingServer_; ///< Until the primary is known, or any is connected.
     Watermarks watermarks_;
     PromotionPlanner planner_;
+    std::uint32_t confirmReplicas_ = 0;
+    bool pauseWanted_ = false;                     ///< Before a promotion.
     std::optional<PromotionRecord> lastPromotion_; ///< The newest that was seen.
     bool primarySuspected_ = false;
     std::string suspicion_;
--- a/src/core/groupscheduler_replies.cpp
+++ b/src/core/groupscheduler_replies.cpp
@@ -64,6 +64,7 @@
     case ExpectedReply::Report:
         handleReport(*link, reply, now);
         release(key, now);
+        resumeReplica(key.server, now);
         break;
     }
 }
@@ -92,6 +93,7 @@
     link.reportedAt = now;
     link.term = std::max(link.term, reply.report->term);
     link.received = reply.report->received;
+    link.pausedFor = reply.report->pausedFor;
     const auto number = std::find_if(servers_.begin(), servers_.end(),
                                      [&](const auto &entry) { return &entry.second == &link; });
     if (reply.report->primary)
@@ -100,6 +102,17 @@
         notLeading(link, now);
 }
 
+/// Lets a replica receive again whose pause has led to a promotion.
+void GroupScheduler::resumeReplica(ServerNumber number, TimePoint now)
+{
+    const auto *link = find(number);
+    if (link == nullptr || link->primary || link->pausedFor == 0 || link->pausedFor > newestTerm())
+        return;
+    const ServerCommand command{CommandKind::Resume, {}};
+    const auto kind = ExpectedReply::Report;
+    ask(number, {&command, 1}, {&kind, 1}, now);
+}
+
 void GroupScheduler::handleStatement(ServerConnectionKey key, ServerReply reply, TimePoint sentAt,
                                      TimePoint now)
 {
--- a/src/core/groupscheduler_servers.cpp
+++ b/src/core/groupscheduler_servers.cpp
@@ -36,6 +36,26 @@
     return link.primary && now - *link.leavingSince < leavingPrimaryLimit;
 }
 
+bool GroupScheduler::observed(const ServerLink &link, TimePoint now) const
+{
+    // A leaving replica receives, and confirms commits, until it ends.
+    return usable(link, now) || (link.registered && confirmReplicas_ > 0);
+}
+
+Term GroupScheduler::newestTerm() const
+{
+    Term newest = watermarks_.term();
+    for (const auto &[number, link] : servers_)
+        newest = std::max({newest, link.term, link.received.term});
+    return newest;
+}
+
+void GroupScheduler::setConfirmReplicas(std::uint32_t count)
+{
+    confirmReplicas_ = count;
+    planner_.setConfirmReplicas(count);
+}
+
 bool GroupScheduler::primaryInDoubt(TimePoint now) const
 {
     const auto number = primary();
@@ -143,7 +163,7 @@
     auto *link = find(number);
     if (link == nullptr)
         return;
-    const std::size_t limit = usable(*link, now) ? connectionShare_ : 0;
+    const std::size_t limit = usable(*link, now) ? connectionShare_ : observed(*link, now) ? 1 : 0;
     std::vector<ConnectionId> closed;
     for (const auto &[id, connection] : link->connections) {
         const auto left = link->connections.size() - closed.size();
@@ -190,7 +210,7 @@
         link->failed(now);
         breakConnection(key, "no answer to a command of the proxy", now);
     }
-    if (!link->connections.empty() || !usable(*link, now))
+    if (!link->connections.empty() || !observed(*link, now))
         return;
     const auto step = link->budget.acquire(link->registration.id, now);
     if (const auto *opening = std::get_if<OpenConnection>(&step))
@@ -228,11 +248,14 @@
 
 void GroupScheduler::askReports(TimePoint now)
 {
-    const ServerCommand command{CommandKind::Status, {}};
+    const ServerCommand status{CommandKind::Status, {}};
+    ServerCommand pause{CommandKind::Pause, {}};
+    pause.term = newestTerm() + 1;
     const auto kind = ExpectedReply::Report;
     for (auto &[number, link] : servers_) {
-        if (!usable(link, now) || now - link.reportAskedAt < settings_.reportInterval)
+        if (!observed(link, now) || now - link.reportAskedAt < settings_.reportInterval)
             continue;
+        const auto &command = pauseWanted_ && !link.primary ? pause : status;
         if (ask(number, {&command, 1}, {&kind, 1}, now)
             || askBehindStatement(number, command, kind, now))
             link.reportAskedAt = now;
@@ -297,10 +320,7 @@
 /// shows that the promotion has not taken place.
 bool GroupScheduler::mayHaveForked(const ServerLink &link, TimePoint now) const
 {
-    Term newest = watermarks_.term();
-    for (const auto &[number, other] : servers_)
-        newest = std::max({newest, other.term, other.received.term});
-    const bool old = link.received.term < newest;
+    const bool old = link.received.term < newestTerm();
     if (!lastPromotion_ || lastPromotion_->server.empty())
         return old;
     const bool beyond = link.received > lastPromotion_->position;
@@ -333,6 +353,7 @@
         candidate.reportedAt = link.reportedAt;
         candidate.received = link.received;
         candidate.mayHaveForked = mayHaveForked(link, now);
+        candidate.paused = !link.primary && link.pausedFor > newestTerm();
         view.push_back(candidate);
     }
     return view;
@@ -382,6 +403,7 @@
     const bool silent = number && primaryInDoubt(now);
     primarySuspected_ = step.suspected;
     suspicion_ = step.reason;
+    pauseWanted_ = step.wantsPause;
     reportSuspicion(step.reportSuspicion, now);
     if (step.wantsReports || silent || !number || planner_.orderPending(now))
         askReports(now);
--- a/src/core/promotionplanner.cpp
+++ b/src/core/promotionplanner.cpp
@@ -1,9 +1,29 @@
 #include "core/promotionplanner.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace shallotwalk {
 
+namespace {
+
+/// Whether so many of the replicas satisfy \a condition that one of them holds every commit that
+/// \a confirmReplicas have received.
+template<class Condition>
+bool coverCommits(std::span<const FailoverCandidate> servers, std::uint32_t confirmReplicas,
+                  Condition condition)
+{
+    std::uint32_t satisfied = 0;
+    std::uint32_t missing = 0;
+    for (const auto &server : servers) {
+        if (!server.primary && server.registered && !server.mayHaveForked)
+            ++(condition(server) ? satisfied : missing);
+    }
+    return satisfied > 0 && missing < confirmReplicas;
+}
+
+} // namespace
+
 PromotionPlanner::PromotionPlanner(const FailoverSettings &settings)
     : settings_(settings)
 {
@@ -27,7 +47,17 @@
         return "primary_leaving";
     if (primary->refusedFor >= settings_.refusedLimit)
         return "primary_refuses_connections";
-    return primary->silence >= settings_.silenceLimit ? "primary_silent" : "";
+    if (primary->silence >= settings_.silenceLimit)
+        return "primary_silent";
+    const bool paused = std::any_of(servers.begin(), servers.end(),
+                                    [](const auto &server) { return server.paused; });
+    return paused ? "replicas_paused" : "";
+}
+
+bool PromotionPlanner::hasRecentReport(const FailoverCandidate &server, Duration reportAge,
+                                       TimePoint now) const
+{
+    return server.silence <= settings_.reportAge && now - server.reportedAt < reportAge;
 }
 
 const FailoverCandidate *PromotionPlanner::successor(std::span<const FailoverCandidate> servers,
@@ -42,13 +72,17 @@
     }
     const FailoverCandidate *best = nullptr;
     for (const auto &server : servers) {
-        const bool usable = !server.primary && server.registered && !server.leaving
-                            && !server.mayHaveForked && server.silence <= settings_.reportAge
-                            && now - server.reportedAt < reportAge;
+        // Every acknowledged commit goes before a server that stays.
+        const bool usable = !server.primary && server.registered && !server.mayHaveForked
+                            && (confirmReplicas_ > 0 ? server.paused : !server.leaving)
+                            && hasRecentReport(server, reportAge, now);
         // Among equals the first by id, so that all proxies choose the same one.
+        const auto rank = [](const FailoverCandidate &candidate) {
+            return std::tuple(candidate.received, !candidate.leaving);
+        };
         if (usable
-            && (best == nullptr || best->received < server.received
-                || (best->received == server.received && server.id < best->id)))
+            && (best == nullptr || rank(*best) < rank(server)
+                || (rank(*best) == rank(server) && server.id < best->id)))
             best = &server;
     }
     return best;
@@ -64,7 +98,8 @@
 {
     FailoverStep step;
     step.reason = reasonAgainst(servers, missingFor);
-    const bool known = step.reason == "primary_leaving" || step.reason == "primary_gone";
+    const bool serving = step.reason == "primary_leaving" || step.reason == "replicas_paused";
+    const bool known = serving || step.reason == "primary_gone";
     const bool silent = std::any_of(servers.begin(), servers.end(), [&](const auto &server) {
         return server.primary
                && (server.silence >= settings_.suspicionLimit
@@ -73,10 +108,19 @@
     step.reportSuspicion = !known && (silent || !step.reason.empty());
     if (step.reason.empty())
         return step;
-    step.suspected = step.reason != "primary_leaving";
+    step.suspected = !serving;
     step.wantsReports = true;
     if (orderPending(now) || (!known && !agreed_))
         return step;
+    if (confirmReplicas_ > 0 && !coverCommits(servers, confirmReplicas_, [](const auto &server) {
+            return server.paused;
+        })) {
+        // With too few replicas in reach a pause would stop commits and lead to no promotion.
+        step.wantsPause = coverCommits(servers, confirmReplicas_, [&](const auto &server) {
+            return hasRecentReport(server, settings_.reportAge, now);
+        });
+        return step;
+    }
     if (const auto *best = successor(servers, now)) {
         step.server = best->id;
         step.position = best->received;
--- a/src/core/promotionplanner.h
+++ b/src/core/promotionplanner.h
@@ -42,6 +42,7 @@
     TimePoint reportedAt;       ///< Of its last report.
     Position received;          ///< As last reported.
     bool mayHaveForked = false; ///< Its log may hold what an earlier promotion has rolled back.
+    bool paused = false;        ///< It receives nothing until the next promotion.
 };
 
 /// What the planner wants done.
@@ -50,6 +51,7 @@
     bool suspected = false;       ///< The primary must be taken as unable to serve.
     bool reportSuspicion = false; ///< The other proxies must be told.
     bool wantsReports = false;    ///< Replicas must report before a choice is possible.
+    bool wantsPause = false;      ///< Replicas must stop receiving before a choice is possible.
     std::string server;           ///< To promote; empty: none.
     Position position;            ///< Of its log.
     std::string reason;
@@ -59,7 +61,12 @@
 /// or gone is replaced at once; a silent one only when some replica answers this proxy and half of
 /// the fleet finds it silent, since otherwise this proxy may be cut off from a primary that serves
 /// the others. A server that an earlier promotion has left behind is never chosen: that would bring
-/// back what was rolled back, after it was read without. Not thread-safe.
+/// back what was rolled back, after it was read without.
+///
+/// Where commits are acknowledged once replicas have received them, enough replicas are paused
+/// before the choice that no commit can be acknowledged behind it. A pause is never taken back,
+/// since another proxy's choice may rest on it: paused replicas are a reason for a promotion by
+/// themselves. Not thread-safe.
 class PromotionPlanner
 {
 public:
@@ -73,6 +80,9 @@
     /// \a agreeing of the fleet's \a proxies, this one included, suspect the primary.
     void setAgreement(std::size_t agreeing, std::size_t proxies);
 
+    /// A commit is acknowledged once \a count replicas have received it.
+    void setConfirmReplicas(std::uint32_t count) { confirmReplicas_ = count; }
+
     /// This proxy has given an order.
     void ordered(TimePoint now) { nextOrderAt_ = now + settings_.orderInterval; }
 
@@ -88,10 +98,12 @@
 private:
     std::string reasonAgainst(std::span<const FailoverCandidate> servers,
                               Duration missingFor) const;
+    bool hasRecentReport(const FailoverCandidate &server, Duration reportAge, TimePoint now) const;
     const FailoverCandidate *successor(std::span<const FailoverCandidate> servers,
                                        TimePoint now) const;
 
     FailoverSettings settings_;
+    std::uint32_t confirmReplicas_ = 0;
     bool agreed_ = true; ///< Half of the fleet suspects the primary.
     TimePoint nextOrderAt_;
     TimePoint nextOrderAfterOthersAt_;
--- a/src/core/sqlsession.h
+++ b/src/core/sqlsession.h
@@ -74,6 +74,8 @@
     Execute,
     ResetSession, ///< Clears session values and prepared statements.
     Status,
+    Pause,  ///< A replica receives nothing until a primary of a term leads. Answered like Status.
+    Resume, ///< Ends a pause. Answered like Status.
 };
 
 /// One command to a backend server.
@@ -86,6 +88,7 @@
     bool readOnly = false; ///< Of Prepare.
     std::string name = {}; ///< As in SessionStatement.
     std::string text = {}; ///< As in SessionStatement.
+    Term term = 0;         ///< Of Pause: that of the next primary.
 };
 
 /// A backend server's report about itself.
@@ -93,7 +96,8 @@
 {
     bool primary = false;
     Term term = 0;
-    Position received; ///< Last position received (a primary: written).
+    Position received;  ///< Last position received (a primary: written).
+    Term pausedFor = 0; ///< It receives nothing until a primary of this term leads; 0: it receives.
 };
 
 /// Answer of a backend server to one command, or to the opening of a connection.
--- a/src/gateway/groupactor.cpp
+++ b/src/gateway/groupactor.cpp
@@ -83,6 +83,7 @@
 void GroupActor::configure(const GroupConfigured &message)
 {
     const auto now = context_.clock->now();
+    scheduler_->setConfirmReplicas(message.confirmReplicas);
     scheduler_->setTransactionIdleLimit(message.transactionIdleLimit);
     scheduler_->setConnectionShare(message.connectionShare, now);
     scheduler_->setServers(message.servers, now);
--- a/src/gateway/groupsmanager.cpp
+++ b/src/gateway/groupsmanager.cpp
@@ -150,6 +150,7 @@
             message.servers.push_back(server);
     }
     message.connectionShare = connectionShare(pools_.at(pool), directory_.proxies);
+    message.confirmReplicas = pools_.at(pool).confirmReplicas;
     message.transactionIdleLimit = directory_.configuration->transactionIdleLimit;
     self_->send(groups_.at(pool), std::move(message));
 }
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -80,6 +80,7 @@
     std::vector<ServerRegistration> servers;
     std::size_t connectionShare = 1;
     Duration transactionIdleLimit{0};
+    std::uint32_t confirmReplicas = 0; ///< That must receive a commit before its answer.
 };
 
 /// Where sessions find routes and groups.
--- a/tests/adapter/test_lineprotocol.cpp
+++ b/tests/adapter/test_lineprotocol.cpp
@@ -142,6 +142,7 @@
     BOOST_TEST(!reply.report->primary);
     BOOST_TEST(reply.report->term == 3);
     BOOST_TEST((reply.report->received == Position{3, 1209}));
+    BOOST_TEST(reply.report->pausedFor == 0U);
 }
 
 // Guards against a promise that nobody has made: unknown codes aren't taken for one.
@@ -170,6 +171,17 @@
                == "QUERY - AFTER 1.2 BEGIN READ\r\n");
     BOOST_TEST(encodeCommand({CommandKind::Prepare, {}, {}, true, "r71", "q"})
                == "QUERY - PREPARE r71 READ q\r\n");
+    BOOST_TEST(encodeCommand({CommandKind::Pause, {}, {}, false, {}, {}, 4})
+               == "QUERY - PAUSE 4\r\n");
+    BOOST_TEST(encodeCommand({CommandKind::Resume, {}}) == "QUERY - RESUME\r\n");
+}
+
+// Guards against a pause that the proxy doesn't see, and waits for until the day is over.
+BOOST_AUTO_TEST_CASE(report_of_a_paused_replica_is_recognised)
+{
+    const auto messages = decodeServer(
+        "READY I 3.1\r\nROW replica 3 3.1209 4 12 2 17\r\nDONE -\r\nREADY I 3.1204\r\n");
+    BOOST_TEST(std::get<ServerReply>(messages.at(1)).report.value().pausedFor == 4U);
 }
 
 // Guards against an error text that forges a further message.
--- a/tests/sessions/groupfixture.cpp
+++ b/tests/sessions/groupfixture.cpp
@@ -82,7 +82,12 @@
                     reply(key, done(state, position));
                     break;
                 case CommandKind::Status:
-                    reply(key, report(primary, position.term, position));
+                    reply(key, report(primary, position.term, position, paused[server]));
+                    break;
+                case CommandKind::Pause:
+                case CommandKind::Resume:
+                    paused[server] = command.term;
+                    reply(key, report(primary, position.term, position, command.term));
                     break;
                 case CommandKind::Read:
                 case CommandKind::Write:
@@ -134,10 +139,10 @@
     return reply;
 }
 
-ServerReply GroupFixture::report(bool primary, Term term, Position received)
+ServerReply GroupFixture::report(bool primary, Term term, Position received, Term pausedFor)
 {
     auto reply = done(TransactionState::None, received);
-    reply.report = ServerReport{primary, term, received};
+    reply.report = ServerReport{primary, term, received, pausedFor};
     return reply;
 }
 
--- a/tests/sessions/groupfixture.h
+++ b/tests/sessions/groupfixture.h
@@ -33,7 +33,7 @@
     static ServerReply signedReply(TransactionState state = TransactionState::None,
                                    Position position = {1, 100});
     static ServerReply error(AnswerCode code, TransactionState state = TransactionState::None);
-    static ServerReply report(bool primary, Term term, Position received);
+    static ServerReply report(bool primary, Term term, Position received, Term pausedFor = 0);
 
     /// Waits in steps of 10 ms, with a tick at each.
     void wait(Duration duration);
@@ -46,9 +46,11 @@
     FakePort port;
     GroupScheduler scheduler;
     TimePoint now{std::chrono::seconds(1000)};
+    std::map<std::string, Term> paused; ///< Servers, with the term they are paused for; 0: resumed.
 
 private:
     std::size_t opened_ = 0;
+
     std::map<ServerConnectionKey, TransactionState> states_; ///< Of the connections at serve().
 };
 
--- a/tests/sessions/test_groupscheduler.cpp
+++ b/tests/sessions/test_groupscheduler.cpp
@@ -471,4 +471,38 @@
     BOOST_TEST(port.answers.at(1).server != silent);
 }
 
+// Guards against a promotion that loses a commit which only one replica has received: both are
+// paused for the next term first, also the one that is leaving, and resumed once that term leads.
+BOOST_AUTO_TEST_CASE(replicas_are_paused_before_a_promotion_and_resumed_after_it)
+{
+    sampleWatermark();
+    scheduler.setConfirmReplicas(1);
+    auto leaving1 = registration("p", true);
+    auto leaving2 = registration("r2");
+    leaving1.leaving = true;
+    leaving2.leaving = true;
+    scheduler.setServers(std::vector{leaving1, registration("r1"), leaving2}, now);
+    std::map<std::string, int> pauses;
+    for (int i = 0; i < 60 && port.promotions.empty(); ++i) {
+        wait(10ms);
+        connectAll();
+        for (const std::string replica : {"r1", "r2"}) {
+            for (const auto kind : kinds(replica))
+                pauses[replica] += kind == CommandKind::Pause ? 1 : 0;
+            serve(replica);
+        }
+    }
+    BOOST_REQUIRE(port.promotions.size() == 1);
+    BOOST_TEST(port.promotions.front().server == "r1");
+    BOOST_TEST(pauses["r1"] == 1);
+    BOOST_TEST(pauses["r2"] == 1);
+    for (int i = 0; i < 300; ++i) {
+        wait(10ms);
+        connectAll();
+        serve("r1", {2, 100}, true);
+        serve("r2", {2, 100});
+    }
+    BOOST_TEST(paused.at("r2") == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/sessions/test_promotionplanner.cpp
+++ b/tests/sessions/test_promotionplanner.cpp
@@ -23,6 +23,10 @@
         const std::vector servers{primary, replica};
         return planner.review(servers, missingFor, now);
     }
+    FailoverStep review(const std::vector<FailoverCandidate> &servers)
+    {
+        return planner.review(servers, {}, now);
+    }
 
     TimePoint now{std::chrono::seconds(1000)};
     PromotionPlanner planner;
@@ -122,4 +126,62 @@
     BOOST_TEST(review(1s).server == "r");
 }
 
+// Guards against a commit that is acknowledged at one replica while another one is chosen.
+BOOST_AUTO_TEST_CASE(replicas_that_confirm_commits_are_paused_before_the_choice)
+{
+    planner.setConfirmReplicas(1);
+    primary.leaving = true;
+    auto other = replica;
+    other.id = "s";
+    other.received = {1, 101};
+    BOOST_TEST(review(std::vector{primary, replica, other}).wantsPause);
+    BOOST_TEST(review(std::vector{primary, replica, other}).server.empty());
+    other.paused = true;
+    BOOST_TEST(review(std::vector{primary, replica, other}).server.empty());
+    replica.paused = true;
+    const auto step = review(std::vector{primary, replica, other});
+    BOOST_TEST(!step.wantsPause);
+    BOOST_TEST(step.server == "s");
+}
+
+// Guards against the loss of a commit that only a replica which is leaving has received.
+BOOST_AUTO_TEST_CASE(leaving_replica_that_received_most_takes_over_where_it_confirms_commits)
+{
+    planner.setConfirmReplicas(1);
+    primary.refusedFor = 1s;
+    replica.paused = true;
+    auto leaving = replica;
+    leaving.id = "l";
+    leaving.leaving = true;
+    BOOST_TEST(review(std::vector{primary, replica, leaving}).server == "r");
+    leaving.received = {1, 101};
+    BOOST_TEST(review(std::vector{primary, replica, leaving}).server == "l");
+}
+
+// Guards against a pause that stops commits and can't lead to a promotion.
+BOOST_AUTO_TEST_CASE(nothing_is_paused_while_a_replica_that_may_hold_commits_is_silent)
+{
+    planner.setConfirmReplicas(1);
+    primary.leaving = true;
+    auto silent = replica;
+    silent.id = "s";
+    silent.silence = 2s;
+    BOOST_TEST(!review(std::vector{primary, replica, silent}).wantsPause);
+    silent.registered = false;
+    BOOST_TEST(review(std::vector{primary, replica, silent}).wantsPause);
+}
+
+// Guards against replicas that stay paused, and with them the commits, after the proxy that paused
+// them has ended.
+BOOST_AUTO_TEST_CASE(paused_replicas_lead_to_a_promotion)
+{
+    planner.setConfirmReplicas(1);
+    planner.setAgreement(0, 4);
+    replica.paused = true;
+    const auto step = review();
+    BOOST_TEST(step.server == "r");
+    BOOST_TEST(step.reason == "replicas_paused");
+    BOOST_TEST(!step.suspected);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
