Take answers of the store that arrive slowly, and let few proxies watch each primary

- A proxy whose entry the store drops while its lease goes on writes it again.
- With 46 connections for 30 proxies each has one, which a pausing transaction holds: up to three may be opened for a moment where the share is smaller, and are given back after 0.3 s or when the server refuses one.

--- a/src/core/directory.cpp
+++ b/src/core/directory.cpp
@@ -1,5 +1,7 @@
 #include "core/directory.h"
 
+#include "core/rendezvous.h"
+
 #include <algorithm>
 
 namespace shallotwalk {
@@ -81,18 +83,33 @@
     const auto found = suspicions_.find(service);
     if (found == suspicions_.end())
         return servers;
+    const auto counted = witnesses(service);
     for (const auto &[vm, server] : found->second) {
-        if (vm != self)
+        if (vm != self && std::find(counted.begin(), counted.end(), vm) != counted.end())
             servers.push_back(server);
     }
     return servers;
 }
 
-std::vector<std::string> Directory::suspectedServices() const
+std::vector<std::string_view> Directory::witnesses(std::string_view service) const
 {
-    std::vector<std::string> services;
-    for (const auto &[service, entries] : suspicions_)
-        services.push_back(service);
+    std::vector<std::pair<std::uint64_t, std::string_view>> ranked;
+    for (const auto &[name, entry] : proxies_)
+        ranked.emplace_back(rendezvousWeight(service, name), name);
+    std::sort(ranked.rbegin(), ranked.rend());
+    ranked.resize(std::min(ranked.size(), settings_.witnessCount));
+    std::vector<std::string_view> names;
+    names.reserve(ranked.size());
+    for (const auto &[weight, name] : ranked)
+        names.push_back(name);
+    return names;
+}
+
+std::set<std::string, std::less<>> Directory::services() const
+{
+    std::set<std::string, std::less<>> services;
+    for (const auto &[id, entry] : servers_)
+        services.insert(entry.value.service);
     return services;
 }
 
--- a/src/core/directory.h
+++ b/src/core/directory.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +44,9 @@
     /// After an outage of the store, until an entry that is still missing counts as gone. Servers
     /// that live are back within about two seconds.
     Duration holdAfterOutage{std::chrono::milliseconds(2500)};
+    /// Proxies whose suspicions of one primary count. Half of them must agree, so that one data
+    /// centre that is cut off decides nothing.
+    std::size_t witnessCount = 7;
 };
 
 /// What this proxy knows from the platform's store: the configuration in force, the registered
@@ -70,8 +74,11 @@
     void suspicionGone(std::string_view service, std::string_view vm);
     /// The servers that proxies other than \a self suspect, one entry a proxy.
     std::vector<std::string> suspicions(std::string_view service, std::string_view self) const;
-    /// The services that any proxy has suspected.
-    std::vector<std::string> suspectedServices() const;
+    /// The proxies whose view of the primary of \a service counts, by rendezvous hashing; a view
+    /// that all of a large fleet report would cost the store the square of their number.
+    std::vector<std::string_view> witnesses(std::string_view service) const;
+    /// The services that any server belongs to.
+    std::set<std::string, std::less<>> services() const;
 
     /// All entries have been read: those that no call has named since beginListing() are gone.
     void beginListing();
--- a/src/core/groupscheduler.cpp
+++ b/src/core/groupscheduler.cpp
@@ -139,6 +139,8 @@
         item.deadline = std::min(item.deadline, std::max(request.receivedAt, now) + request.goal);
     auto capacity = link.capacity();
     capacity.total = std::max<std::uint32_t>(capacity.total, 1);
+    if (mayBurst(link, now))
+        capacity.total += connectionBurst_ - link.connections.size();
     if (link.policy->submit(item, capacity, now))
         return false;
     pending.stage = Pending::Stage::Queued;
@@ -177,6 +179,7 @@
 {
     auto *link = find(number);
     while (link != nullptr && link->policy->queued() > 0) {
+        link->budget.setLimit(connectionLimit(*link, now));
         const auto step = link->budget.acquire(link->registration.id, now);
         if (const auto *opening = std::get_if<OpenConnection>(&step)) {
             openConnection(number, opening->id, now);
--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -74,6 +74,10 @@
     /// Connections that this proxy may hold to each server.
     void setConnectionShare(std::size_t share, TimePoint now);
 
+    /// Connections that this proxy may hold for a moment, beyond its share and as long as the
+    /// server accepts them, while work waits and its share is in use.
+    void setConnectionBurst(std::size_t limit) { connectionBurst_ = limit; }
+
     /// A commit is acknowledged once \a count replicas have received it.
     void setConfirmReplicas(std::uint32_t count);
 
@@ -96,9 +100,13 @@
     /// The order of this proxy can't be carried out.
     void promotionFailed(std::string_view server, TimePoint now);
 
-    /// The primaries that the other proxies find unable to serve, one entry a proxy, and the number
-    /// of proxies in the fleet.
-    void setSuspicions(std::vector<std::string> servers, std::size_t proxies, TimePoint now);
+    /// Whether this proxy's view of the primary counts. Only such a proxy reports suspicions and
+    /// orders promotions.
+    void setWitness(bool witness) { witness_ = witness; }
+
+    /// The primaries that the other witnesses find unable to serve, one entry a witness, and the
+    /// number of witnesses, with this proxy if it is one.
+    void setSuspicions(std::vector<std::string> servers, std::size_t witnesses, TimePoint now);
 
     /// Time has passed.
     void tick(TimePoint now);
@@ -160,6 +168,8 @@
               std::span<const ServerCommand> commands, std::span<const ExpectedReply> kinds,
               TimePoint now);
     ServerCommand toCommand(const GroupRequest &request) const;
+    bool mayBurst(const ServerLink &link, TimePoint now) const;
+    std::size_t connectionLimit(const ServerLink &link, TimePoint now) const;
     void openConnection(ServerNumber number, ConnectionId id, TimePoint now);
 
     // Replies
@@ -226,6 +236,7 @@
     GroupSchedulerSettings settings_;
     GroupPort &port_;
     std::size_t connectionShare_ = 1;
+    std::size_t connectionBurst_ = 1;
     std::map<ServerNumber, ServerLink> servers_;
     ServerNumber nextServer_ = 1;
     Requests requests_;
@@ -239,8 +250,9 @@
     std::optional<PromotionRecord> lastPromotion_; ///< The newest that was seen.
     bool primarySuspected_ = false;
     std::string suspicion_;
-    std::vector<std::string> suspicions_; ///< Of the other proxies.
-    std::size_t proxies_ = 1;
+    std::vector<std::string> suspicions_; ///< Of the other witnesses.
+    std::size_t witnesses_ = 1;
+    bool witness_ = true;
     std::optional<std::string> reportedSuspicion_;
     TimePoint suspicionReportedAt_;
     std::optional<TimePoint> doubtSince_; ///< Since when the primary can't be used.
--- a/src/core/groupscheduler_replies.cpp
+++ b/src/core/groupscheduler_replies.cpp
@@ -9,6 +9,9 @@
 /// A replica that was behind is not asked for newer data before.
 constexpr Duration laggingPause = std::chrono::milliseconds(100);
 
+/// After a refused connection, until more than the share is opened again.
+constexpr Duration burstPause = std::chrono::seconds(1);
+
 /// Added to the estimate of a server that sheds load, so that work moves elsewhere.
 constexpr Duration busyPenalty = std::chrono::milliseconds(100);
 
@@ -73,6 +76,8 @@
 {
     auto &link = *find(key.server);
     if (reply.error) {
+        if (reply.error == AnswerCode::TooManyClients)
+            link.burstRefusedUntil = now + burstPause;
         breakConnection(key, "the server refused the connection", now);
         return;
     }
--- a/src/core/groupscheduler_servers.cpp
+++ b/src/core/groupscheduler_servers.cpp
@@ -11,6 +11,9 @@
 /// and the successor of one that lost power find room.
 constexpr Duration idleConnectionLimit = std::chrono::milliseconds(1500);
 
+/// The same for a connection beyond this proxy's share, which others may need more.
+constexpr Duration idleBurstLimit = std::chrono::milliseconds(300);
+
 /// A leaving primary serves on until its successor does, but not longer. Below the time within
 /// which leaving servers must get no more work.
 constexpr Duration leavingPrimaryLimit = std::chrono::milliseconds(4000);
@@ -163,12 +166,15 @@
     auto *link = find(number);
     if (link == nullptr)
         return;
-    const std::size_t limit = usable(*link, now) ? connectionShare_ : observed(*link, now) ? 1 : 0;
+    std::size_t limit = std::max(connectionShare_, connectionBurst_);
+    if (!usable(*link, now))
+        limit = observed(*link, now) ? 1 : 0;
     std::vector<ConnectionId> closed;
     for (const auto &[id, connection] : link->connections) {
         const auto left = link->connections.size() - closed.size();
         const bool surplus = left > limit;
-        if (!surplus && (left <= 1 || now - connection.lastUsed < idleConnectionLimit))
+        const auto idleLimit = left > connectionShare_ ? idleBurstLimit : idleConnectionLimit;
+        if (!surplus && (left <= 1 || now - connection.lastUsed < idleLimit))
             continue;
         if (connection.idle() && link->budget.take(id))
             closed.push_back(id);
@@ -182,6 +188,19 @@
         servers_.erase(number);
 }
 
+bool GroupScheduler::mayBurst(const ServerLink &link, TimePoint now) const
+{
+    return connectionBurst_ > link.connections.size() && now >= link.burstRefusedUntil;
+}
+
+std::size_t GroupScheduler::connectionLimit(const ServerLink &link, TimePoint now) const
+{
+    // One that waits behind each connection without a transaction is served sooner than a new
+    // connection would be open.
+    const bool needed = link.policy->queued() > link.capacity().total;
+    return needed && mayBurst(link, now) ? connectionBurst_ : connectionShare_;
+}
+
 void GroupScheduler::openConnection(ServerNumber number, ConnectionId id, TimePoint now)
 {
     auto &link = servers_.at(number);
@@ -374,22 +393,22 @@
     updateAgreement();
 }
 
-void GroupScheduler::setSuspicions(std::vector<std::string> servers, std::size_t proxies,
+void GroupScheduler::setSuspicions(std::vector<std::string> servers, std::size_t witnesses,
                                    TimePoint now)
 {
     suspicions_ = std::move(servers);
-    proxies_ = proxies;
+    witnesses_ = witnesses;
     updateAgreement();
     reviewPrimary(now);
 }
 
-/// Counts the proxies that suspect the primary known here, or the lack of one.
+/// Counts the witnesses that suspect the primary known here, or the lack of one.
 void GroupScheduler::updateAgreement()
 {
     const auto number = primary();
     const std::string server = number ? servers_.at(*number).registration.id : "";
     const auto others = std::count(suspicions_.begin(), suspicions_.end(), server);
-    planner_.setAgreement(others + (reportedSuspicion_ ? 1 : 0), proxies_);
+    planner_.setAgreement(others + (reportedSuspicion_ ? 1 : 0), witnesses_);
 }
 
 void GroupScheduler::reviewPrimary(TimePoint now)
@@ -403,13 +422,13 @@
     const bool silent = number && primaryInDoubt(now);
     primarySuspected_ = step.suspected;
     suspicion_ = step.reason;
-    pauseWanted_ = step.wantsPause;
-    reportSuspicion(step.reportSuspicion, now);
+    pauseWanted_ = step.wantsPause && witness_;
+    reportSuspicion(step.reportSuspicion && witness_, now);
     if (step.wantsReports || silent || !number || planner_.orderPending(now))
         askReports(now);
     else
         clearDoubt();
-    if (step.server.empty())
+    if (step.server.empty() || !witness_)
         return;
     planner_.ordered(now);
     ++counters_.promotionsOrdered;
--- a/src/core/serverlink.h
+++ b/src/core/serverlink.h
@@ -68,7 +68,8 @@
     std::optional<TimePoint> leavingSince;
     TimePoint reportedAt = TimePoint{};
     TimePoint reportAskedAt = TimePoint{};
-    TimePoint laggingUntil = TimePoint{}; ///< Not chosen for reads before.
+    TimePoint laggingUntil = TimePoint{};      ///< Not chosen for reads before.
+    TimePoint burstRefusedUntil = TimePoint{}; ///< It had no connections left beyond the shares.
 
     ConnectionBudget budget;
     std::map<ConnectionId, ServerConnection> connections;
--- a/src/gateway/directoryactor.cpp
+++ b/src/gateway/directoryactor.cpp
@@ -1,5 +1,7 @@
 #include "gateway/directoryactor.h"
 
+#include "gateway/httpcaller.h"
+
 #include <boost/leaf/handle_errors.hpp>
 
 #include <spdlog/spdlog.h>
@@ -33,7 +35,9 @@
     return {
         [this](RetryList) { list({}); },
         [this](RetryWatch) { watch(); },
-        [this](RenewLease) {
+        [this](RenewLease, std::uint64_t number) {
+            if (number != renewal_)
+                return; // Replaced by a later one.
             if (lease_ == 0)
                 joinFleet();
             else
@@ -60,7 +64,7 @@
 void DirectoryActor::call(const caf::actor &caller, HttpCall call, Decode decode, Handle handle,
                           void (DirectoryActor::*failed)())
 {
-    const auto timeout = call.timeout + context_.callTimeout;
+    const auto timeout = call.timeout + context_.callTimeout + HttpCaller::transferLimit;
     const auto target = call.method + ' ' + call.target.substr(0, call.target.find('?'));
     self_->request(caller, timeout, HttpCallRequest{std::move(call)})
         .then(
@@ -137,6 +141,7 @@
 
 void DirectoryActor::watch()
 {
+    watchedAt_ = context_.clock->now();
     auto call = context_.protocols.store->watch(watchedPrefix, revision_, context_.watchWait);
     call.timeout = context_.watchWait + context_.watchGrace;
     this->call(
@@ -164,7 +169,19 @@
     revision_ = std::max(revision_, changes.revision);
     publish();
     expireSoon();
-    watch();
+    watchAgain();
+}
+
+/// Waits a moment if changes come in quick succession: each answered watch of each proxy costs the
+/// store a call.
+void DirectoryActor::watchAgain()
+{
+    const auto due = watchedAt_ + context_.watchSpacing;
+    const auto now = context_.clock->now();
+    if (now < due)
+        self_->delayed_send(self_, due - now, RetryWatch::value);
+    else
+        watch();
 }
 
 void DirectoryActor::watchFailed()
@@ -234,7 +251,13 @@
         spdlog::info("event=server_entry_removed server={} kept={}", logValue(id), !removed);
         changed_ = removed || changed_;
     } else if (key.starts_with(proxiesPrefix)) {
-        changed_ = directory_.proxyGone(key.substr(proxiesPrefix.size()), now) || changed_;
+        const auto vm = key.substr(proxiesPrefix.size());
+        changed_ = directory_.proxyGone(vm, now) || changed_;
+        // The store may drop a key whose lease goes on.
+        if (vm == context_.vm && lease_ != 0 && !leaving_) {
+            spdlog::warn("event=fleet_entry_lost lease={}", lease_);
+            announce();
+        }
     } else if (key.starts_with(suspicionsPrefix)) {
         const auto [service, vm] = parseSuspicionKey(key);
         directory_.suspicionGone(service, vm);
@@ -273,7 +296,7 @@
         [this](const StoreWrite &write) {
             if (!write.written)
                 lease_ = 0;
-            self_->delayed_send(self_, context_.leaseRenewal, RenewLease::value);
+            renewAfter(write.written ? context_.leaseRenewal : context_.retryDelay);
         },
         &DirectoryActor::leaseFailed);
 }
@@ -291,7 +314,7 @@
         },
         [this](bool renewed) {
             if (renewed) {
-                self_->delayed_send(self_, context_.leaseRenewal, RenewLease::value);
+                renewAfter(context_.leaseRenewal);
                 return;
             }
             spdlog::warn("event=lease_lost lease={}", lease_);
@@ -303,7 +326,12 @@
 
 void DirectoryActor::leaseFailed()
 {
-    self_->delayed_send(self_, context_.leaseRenewal / 2, RenewLease::value);
+    renewAfter(context_.leaseRenewal / 2);
+}
+
+void DirectoryActor::renewAfter(Duration delay)
+{
+    self_->delayed_send(self_, delay, RenewLease::value, ++renewal_);
 }
 
 void DirectoryActor::leaveFleet()
@@ -313,7 +341,16 @@
         return;
     auto call = context_.protocols.store->endLease(std::exchange(lease_, 0));
     call.timeout = context_.callTimeout;
-    self_->send(context_.callCaller, HttpCallRequest{std::move(call)});
+    // The lease would end by itself, only later, so a failure needs no repetition.
+    const auto note = [](std::string_view outcome) {
+        spdlog::info("event=fleet_left outcome={}", logValue(outcome));
+    };
+    self_->request(context_.callCaller, 2 * context_.callTimeout, HttpCallRequest{std::move(call)})
+        .then(
+            [note](const HttpCallResult &result) {
+                note(result.response.status == 0 ? result.error : "ended");
+            },
+            [this, note](const caf::error &error) { note(self_->system().render(error)); });
 }
 
 void DirectoryActor::noteFailure(std::string_view call, std::string_view error)
@@ -346,8 +383,8 @@
     // A group that has just started doesn't know earlier promotions.
     for (auto &record : directory_.promotions())
         self_->send(context_.groups, PromotionRecorded{std::move(record)});
-    // The agreement depends on the number of proxies.
-    for (const auto &service : directory_.suspectedServices())
+    // The witnesses depend on the proxies of the fleet.
+    for (const auto &service : directory_.services())
         publishSuspicions(service);
 }
 
@@ -356,7 +393,12 @@
     SuspicionsChanged message;
     message.service = service;
     message.servers = directory_.suspicions(service, context_.vm);
-    message.proxies = std::max<std::size_t>(directory_.proxyCount(), 1);
+    const auto witnesses = directory_.witnesses(service);
+    // Before the fleet is known this proxy decides alone.
+    message.witnesses = std::max<std::size_t>(witnesses.size(), 1);
+    message.witness =
+        witnesses.empty()
+        || std::find(witnesses.begin(), witnesses.end(), context_.vm) != witnesses.end();
     self_->send(context_.groups, std::move(message));
 }
 
--- a/src/gateway/directoryactor.h
+++ b/src/gateway/directoryactor.h
@@ -22,8 +22,10 @@
     caf::actor callCaller;  ///< HttpCaller for all other calls.
     caf::actor groups;      ///< Gets DirectoryChanged and PromotionRecorded.
     std::shared_ptr<const Clock> clock;
-    /// A configuration must be in force within seconds, so a silent watch must end within two.
+    /// A configuration must be in force within seconds, so a silent watch must end before.
     Duration watchWait{std::chrono::milliseconds(2000)};
+    /// At least between two watches. Small against the time in which a primary is replaced.
+    Duration watchSpacing{std::chrono::milliseconds(50)};
     Duration watchGrace{std::chrono::milliseconds(700)}; ///< For its answer to arrive.
     Duration callTimeout{std::chrono::milliseconds(1000)};
     Duration retryDelay{std::chrono::milliseconds(250)};
@@ -58,6 +60,7 @@
     void handlePage(const StorePage &page);
     void listFailed();
     void watch();
+    void watchAgain();
     void handleChanges(const StoreChanges &changes);
     void watchFailed();
     void applyItem(const KeyValue &item);
@@ -66,6 +69,7 @@
     void announce();
     void renew();
     void leaseFailed();
+    void renewAfter(Duration delay);
     void suspicionFailed();
     void leaveFleet();
     void noteFailure(std::string_view call, std::string_view error);
@@ -82,6 +86,8 @@
     std::int64_t revision_ = 0;     ///< Up to which the directory is known.
     std::int64_t listRevision_ = 0; ///< Of the first page of the listing in progress.
     std::uint64_t lease_ = 0;       ///< 0: none.
+    std::uint64_t renewal_ = 0;     ///< The renewal that is due next; earlier ones are void.
+    TimePoint watchedAt_;           ///< Last call that waits for changes.
     bool changed_ = false;          ///< Since the last publication.
     bool expiryTimer_ = false;
     bool leaving_ = false;
--- a/src/gateway/gatewaytree.cpp
+++ b/src/gateway/gatewaytree.cpp
@@ -132,6 +132,7 @@
     ChildSpecification directory() const
     {
         DirectoryContext context;
+        context.watchWait = settings_.configurationLimit * 2 / 3;
         context.vm = settings_.vm;
         context.protocols = protocols_;
         context.watchCaller = relays_.watchCaller;
--- a/src/gateway/gatewaytree.h
+++ b/src/gateway/gatewaytree.h
@@ -25,6 +25,8 @@
     HttpEndpoint platform; ///< Takes orders to promote servers.
     Duration grace{
         std::chrono::seconds(6)}; ///< From the shutdown signal until the process is killed.
+    /// A new configuration must be in force so soon after the store has accepted it.
+    Duration configurationLimit{std::chrono::seconds(3)};
     /// Files and sockets that the process may have open.
     std::size_t descriptorLimit = 1024;
 };
--- a/src/gateway/groupactor.cpp
+++ b/src/gateway/groupactor.cpp
@@ -67,7 +67,8 @@
             afterEvent();
         },
         [this](const SuspicionsChanged &message) {
-            scheduler_->setSuspicions(message.servers, message.proxies, context_.clock->now());
+            scheduler_->setWitness(message.witness);
+            scheduler_->setSuspicions(message.servers, message.witnesses, context_.clock->now());
             afterEvent();
         },
         [this](const PromotionFailed &message) {
@@ -85,6 +86,7 @@
     const auto now = context_.clock->now();
     scheduler_->setConfirmReplicas(message.confirmReplicas);
     scheduler_->setTransactionIdleLimit(message.transactionIdleLimit);
+    scheduler_->setConnectionBurst(message.connectionBurst);
     scheduler_->setConnectionShare(message.connectionShare, now);
     scheduler_->setServers(message.servers, now);
     afterEvent();
--- a/src/gateway/groupsmanager.cpp
+++ b/src/gateway/groupsmanager.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+/// Connections to a server that a proxy may use for a moment where its share is smaller:
+/// transactions hold theirs while their clients pause, and one connection alone would stop all
+/// other work.
+constexpr std::size_t shortBurst = 3;
+
 constexpr auto groupTimeout = std::chrono::milliseconds(900);
 
 /// Restarts the group of a pool after a delay.
@@ -150,6 +155,7 @@
             message.servers.push_back(server);
     }
     message.connectionShare = connectionShare(pools_.at(pool), directory_.proxies);
+    message.connectionBurst = std::max(message.connectionShare, shortBurst);
     message.confirmReplicas = pools_.at(pool).confirmReplicas;
     message.transactionIdleLimit = directory_.configuration->transactionIdleLimit;
     self_->send(groups_.at(pool), std::move(message));
--- a/src/gateway/httpcaller.cpp
+++ b/src/gateway/httpcaller.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::size_t readSize = 65536;
 constexpr int userTimeoutMs = 3000;
+/// Without a byte of an answer that has begun; over a round trip and a retransmission.
+constexpr Duration stallLimit = std::chrono::milliseconds(1000);
 /// A listing of the store takes about 1 MB.
 constexpr std::uint64_t bodyLimit = std::uint64_t{16} * 1024 * 1024;
 
@@ -101,6 +103,7 @@
     if (calls_.empty())
         return;
     parser_ = std::make_shared<Parser>();
+    receivedAt_ = TimePoint{};
     parser_->parser.eager(true);
     parser_->parser.body_limit(bodyLimit);
     if (!connection_ && !connect()) {
@@ -130,6 +133,7 @@
         closeConnection(); // Bytes that answer nothing.
         return;
     }
+    receivedAt_ = clock_->now();
     auto &[parser, buffer] = *parser_;
     buffer.append(message.buf.data(), message.buf.size());
     boost::beast::error_code error;
@@ -165,6 +169,10 @@
     if (found == calls_.end())
         return;
     if (found == calls_.begin() && parser_) {
+        if (answerArrives(*found)) {
+            self_->delayed_send(self_, stallLimit, CallTimeout{number});
+            return;
+        }
         fail("no answer in time");
         return;
     }
@@ -173,6 +181,12 @@
     promise.deliver(HttpCallResult{HttpResponse{0, {}, {}, {}, false}, "not sent in time"});
 }
 
+bool HttpCaller::answerArrives(const Call &call) const
+{
+    const auto now = clock_->now();
+    return now - receivedAt_ < stallLimit && now < call.deadline + transferLimit;
+}
+
 void HttpCaller::fail(std::string_view error)
 {
     ++failures_;
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -59,7 +59,8 @@
 {
     std::string service;
     std::vector<std::string> servers;
-    std::size_t proxies = 1; ///< Of the fleet, this one included.
+    std::size_t witnesses = 1; ///< Proxies whose view counts.
+    bool witness = true;       ///< This proxy is one of them.
 };
 
 /// Asks for a promotion.
@@ -79,6 +80,7 @@
 {
     std::vector<ServerRegistration> servers;
     std::size_t connectionShare = 1;
+    std::size_t connectionBurst = 1; ///< For a moment, if the servers accept them.
     Duration transactionIdleLimit{0};
     std::uint32_t confirmReplicas = 0; ///< That must receive a commit before its answer.
 };
--- a/src/gateway/protocols.h
+++ b/src/gateway/protocols.h
@@ -94,7 +94,8 @@
     std::string target;
     std::string body; ///< JSON; empty: none.
     std::vector<HttpHeader> headers;
-    Duration timeout{std::chrono::milliseconds(1000)}; ///< From the call until the whole answer.
+    /// From the call until the answer begins to arrive.
+    Duration timeout{std::chrono::milliseconds(1000)};
 };
 
 /// Part of a listing of the store.
--- a/tests/sessions/groupfixture.cpp
+++ b/tests/sessions/groupfixture.cpp
@@ -155,6 +155,16 @@
     }
 }
 
+void GroupFixture::serveAll(Duration duration, Position position)
+{
+    const auto end = now + duration;
+    while (now < end) {
+        wait(std::min<Duration>(10ms, end - now));
+        for (const std::string server : {"p", "r1", "r2"})
+            serve(server, position, server == "p");
+    }
+}
+
 GroupRequest GroupFixture::request(RequestNumber number, StatementKind kind, Duration maxStaleness)
 {
     GroupRequest request;
--- a/tests/sessions/groupfixture.h
+++ b/tests/sessions/groupfixture.h
@@ -38,6 +38,9 @@
     /// Waits in steps of 10 ms, with a tick at each.
     void wait(Duration duration);
 
+    /// Waits in the same steps; all servers answer at each, "p" as the primary.
+    void serveAll(Duration duration, Position position = {1, 100});
+
     GroupRequest request(RequestNumber number, StatementKind kind, Duration maxStaleness = {});
 
     /// Asks the idle primary, so that its position becomes a watermark.
@@ -50,7 +53,6 @@
 
 private:
     std::size_t opened_ = 0;
-
     std::map<ServerConnectionKey, TransactionState> states_; ///< Of the connections at serve().
 };
 
--- a/tests/sessions/test_directory.cpp
+++ b/tests/sessions/test_directory.cpp
@@ -94,4 +94,24 @@
     BOOST_TEST(directory.promotions().front().server == "a");
 }
 
+// Guards against suspicions that cost the store the square of the number of proxies: few count, the
+// same ones on each proxy, and other ones for other services.
+BOOST_AUTO_TEST_CASE(few_proxies_of_a_large_fleet_are_witnesses)
+{
+    for (int i = 0; i < 30; ++i)
+        directory.proxySeen("front-" + std::to_string(i));
+    const auto witnesses = directory.witnesses("bookings");
+    BOOST_TEST(witnesses.size() == 7U);
+    BOOST_TEST((directory.witnesses("rounds") != witnesses));
+    for (int i = 0; i < 30; ++i)
+        directory.suspicionSeen("bookings", "front-" + std::to_string(i), "p");
+    BOOST_TEST(directory.suspicions("bookings", witnesses.front()).size() == 6U);
+    // One that has left is replaced.
+    const std::string gone(witnesses.front());
+    directory.proxyGone(gone, now);
+    const auto later = directory.witnesses("bookings");
+    BOOST_TEST(later.size() == 7U);
+    BOOST_TEST((std::find(later.begin(), later.end(), gone) == later.end()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/sessions/test_groupscheduler.cpp
+++ b/tests/sessions/test_groupscheduler.cpp
@@ -505,4 +505,75 @@
     BOOST_TEST(paused.at("r2") == 0U);
 }
 
+// Guards against refusals on lakour-skip-grown: 30 proxies share 46 connections a server, so each
+// has one, and a transaction that pauses holds it.
+BOOST_AUTO_TEST_CASE(work_behind_a_transaction_gets_a_connection_beyond_the_share)
+{
+    scheduler.setConnectionBurst(3);
+    scheduler.setConnectionShare(1, now);
+    auto begin = request(1, StatementKind::Write);
+    begin.scope = RequestScope::BeginTransaction;
+    scheduler.submit(begin, now);
+    serve("p", {1, 100}, true);
+    const auto opened = port.opened.size();
+    for (RequestNumber number = 2; number <= 3; ++number)
+        scheduler.submit(request(number, StatementKind::Write), now);
+    BOOST_TEST(port.opened.size() > opened);
+    connectAll();
+    serveAll(200ms);
+    BOOST_TEST(!port.answers.at(2).answer.error.has_value());
+    BOOST_TEST(!port.answers.at(3).answer.error.has_value());
+    scheduler.endTransaction(1, now);
+    // The connections beyond the share are given back.
+    serveAll(500ms);
+    const auto &servers = scheduler.servers();
+    const auto primary = std::find_if(servers.begin(), servers.end(),
+                                      [](const auto &entry) { return entry.second.primary; });
+    BOOST_REQUIRE(primary != servers.end());
+    BOOST_TEST(primary->second.connections.size() == 1U);
+}
+
+// Guards against proxies that keep others from a server by asking for more than their share.
+BOOST_AUTO_TEST_CASE(refused_connection_ends_the_burst_for_a_while)
+{
+    scheduler.setConnectionBurst(3);
+    scheduler.setConnectionShare(1, now);
+    auto begin = request(1, StatementKind::Write);
+    begin.scope = RequestScope::BeginTransaction;
+    scheduler.submit(begin, now);
+    serve("p", {1, 100}, true);
+    scheduler.submit(request(2, StatementKind::Write), now);
+    const auto opened = port.opened.size();
+    BOOST_TEST(opened == 4U);
+    reply(port.opened.back(), error(AnswerCode::TooManyClients));
+    serveAll(300ms);
+    BOOST_TEST(port.opened.size() == opened);
+}
+
+// Guards against a promotion by each of many proxies: only witnesses report and order.
+BOOST_AUTO_TEST_CASE(proxy_that_is_no_witness_reports_and_orders_nothing)
+{
+    sampleWatermark();
+    serveAll(50ms);
+    port.suspicions.clear();
+    scheduler.setWitness(false);
+    scheduler.setSuspicions({"p", "p", "p"}, 4, now);
+    scheduler.submit(request(1, StatementKind::Write), now);
+    for (int i = 0; i < 80; ++i) {
+        wait(10ms);
+        serve("r1");
+        serve("r2");
+    }
+    BOOST_TEST(port.suspicions.empty());
+    BOOST_TEST(port.promotions.empty());
+    scheduler.setWitness(true);
+    for (int i = 0; i < 30 && port.promotions.empty(); ++i) {
+        wait(10ms);
+        serve("r1");
+        serve("r2");
+    }
+    BOOST_TEST(!port.suspicions.empty());
+    BOOST_TEST(port.promotions.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
