Serve latencies, ages and connection shares as metrics

Change: the summary of latencies (Boost.Accumulators) moves from the HTTP front end to the supervision library, and both front ends use it. Groups add latencies by outcome, time in the queue, open connections against the share, queue length and the watermark's age; the directory adds its calls, its age and the configuration's.

--- a/src/core/grouprequest.h
+++ b/src/core/grouprequest.h
@@ -45,6 +45,7 @@
     SessionAnswer answer;
     bool committed = false; ///< A commit or a single write took effect at answer.position.
     std::string server;     ///< That answered; empty if none did.
+    std::optional<TimePoint> firstSentAt; ///< To a server; empty if it never was.
 };
 
 } // namespace shallotwalk
--- a/src/core/groupscheduler.cpp
+++ b/src/core/groupscheduler.cpp
@@ -231,6 +231,8 @@
     pending.stage = Pending::Stage::Running;
     pending.place = key;
     pending.sentAt = now;
+    if (!pending.firstSentAt)
+        pending.firstSentAt = now;
     ++pending.attempts;
     auto commands = connection.content.prepareFor(*request.values, request.prepared);
     std::vector<ExpectedReply> kinds(commands.size(), ExpectedReply::Preparation);
@@ -295,6 +297,8 @@
     pending.stage = Pending::Stage::Running;
     pending.place = transaction.place;
     pending.sentAt = now;
+    if (!pending.firstSentAt)
+        pending.firstSentAt = now;
     ++pending.attempts;
     transaction.lastUsed = now;
     auto commands =
--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -74,6 +74,8 @@
     /// Connections that this proxy may hold to each server.
     void setConnectionShare(std::size_t share, TimePoint now);
 
+    std::size_t connectionShare() const { return connectionShare_; }
+
     /// Connections that this proxy may hold for a moment, beyond its share and as long as the
     /// server accepts them, while work waits and its share is in use.
     void setConnectionBurst(std::size_t limit) { connectionBurst_ = limit; }
@@ -120,6 +122,12 @@
     /// Why the primary must be replaced; empty if it need not.
     const std::string &suspicion() const { return suspicion_; }
 
+    /// Why the last connection ended.
+    const std::string &lastBreak() const { return lastBreak_; }
+
+    /// The term for which replicas must pause before a promotion; 0: none.
+    Term pauseTerm() const { return pauseWanted_ ? newestTerm() + 1 : 0; }
+
     const GroupCounters &counters() const { return counters_; }
     const std::map<std::uint32_t, ServerLink> &servers() const { return servers_; }
     const Watermarks &watermarks() const { return watermarks_; }
@@ -140,6 +148,7 @@
         bool needsPrimary = false;
         std::optional<Position> after; ///< A replica must hold it; empty: needs the leader.
         TimePoint sentAt;
+        std::optional<TimePoint> firstSentAt;
         TimePoint holdUntil; ///< While no server could run it.
     };
     struct Transaction
@@ -259,7 +268,7 @@
     TimePoint primaryMissingSince_ = TimePoint::max();
     TimePoint lastTick_ = TimePoint{};
     TimePoint nextReview_ = TimePoint{};
-    std::string lastBreak_; ///< Why the last connection ended; for the state dump.
+    std::string lastBreak_;
     GroupCounters counters_;
 };
 
--- a/src/core/groupscheduler_replies.cpp
+++ b/src/core/groupscheduler_replies.cpp
@@ -313,6 +313,7 @@
 {
     if (answer.answer.error)
         ++counters_.errors[*answer.answer.error];
+    answer.firstSentAt = pending.firstSentAt;
     const auto number = pending.request.number;
     if (pending.stage == Pending::Stage::Queued) {
         if (auto *link = find(pending.place.server))
--- a/src/frontend/metrics.h
+++ b/src/frontend/metrics.h
@@ -2,12 +2,7 @@
 
 #include "core/failure.h"
 #include "core/time.h"
-
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
+#include "supervision/latencysummary.h"
 
 #include <map>
 #include <string>
@@ -15,29 +10,6 @@
 
 namespace shallotwalk {
 
-/// Distribution of the time that requests of one kind took, in seconds. Not thread-safe.
-class LatencySummary
-{
-public:
-    LatencySummary();
-
-    void add(Duration duration);
-
-    std::uint64_t count() const;
-    double sum() const;
-
-    /// Estimated quantile; \a probability is 0.5, 0.9 or 0.99.
-    double quantile(double probability) const;
-
-private:
-    using Accumulator = boost::accumulators::accumulator_set<
-        double,
-        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
-                                   boost::accumulators::tag::extended_p_square_quantile>>;
-
-    Accumulator accumulator_;
-};
-
 /// Counts and latencies of this proxy's requests, by route and outcome. Not thread-safe; an actor
 /// owns it.
 class Metrics
--- a/src/gateway/directoryactor.cpp
+++ b/src/gateway/directoryactor.cpp
@@ -57,6 +57,7 @@
         [this](LeaveFleet) { leaveFleet(); },
         [this](DrainRequest) { self_->quit(); },
         [this](StateDumpRequest) { return dump(); },
+        [this](MetricsRequest) { return metrics(); },
     };
 }
 
@@ -65,6 +66,7 @@
                           void (DirectoryActor::*failed)())
 {
     const auto timeout = call.timeout + context_.callTimeout + HttpCaller::transferLimit;
+    ++calls_;
     const auto target = call.method + ' ' + call.target.substr(0, call.target.find('?'));
     self_->request(caller, timeout, HttpCallRequest{std::move(call)})
         .then(
@@ -200,6 +202,7 @@
                 const auto version = configuration.tables->version;
                 if (directory_.configurationRead(std::move(configuration))) {
                     changed_ = true;
+                    configurationTakenAt_ = context_.clock->now();
                     spdlog::info("event=configuration_taken version={} revision={}", version,
                                  item.modRevision);
                 }
@@ -366,7 +369,8 @@
 {
     if (!directory_.storeAvailable())
         spdlog::info("event=store_regained");
-    directory_.storeAnswered(context_.clock->now());
+    answeredAt_ = context_.clock->now();
+    directory_.storeAnswered(answeredAt_);
 }
 
 void DirectoryActor::publish()
@@ -428,6 +432,28 @@
     self_->delayed_send(self_, expiryPace, ExpireEntries::value);
 }
 
+MetricsText DirectoryActor::metrics() const
+{
+    const auto ageMs = [now = context_.clock->now()](TimePoint time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count();
+    };
+    const auto &configuration = directory_.configuration();
+    return {metricText("shallotwalk_store_calls_total", "counter", "Calls to the platform's store.",
+                       calls_)
+            + metricText("shallotwalk_store_available", "gauge", "Whether the last call succeeded.",
+                         directory_.storeAvailable() ? 1 : 0)
+            + metricText("shallotwalk_directory_age_ms", "gauge",
+                         "Since the store confirmed the list of servers.", ageMs(answeredAt_))
+            + metricText("shallotwalk_configuration_version", "gauge",
+                         "Version of the configuration in force.",
+                         configuration ? configuration->tables->version : 0)
+            + metricText("shallotwalk_configuration_age_ms", "gauge",
+                         "Since this proxy took that version.", ageMs(configurationTakenAt_))
+            + metricText("shallotwalk_held_entries", "gauge",
+                         "Servers and proxies kept although the store has lost their entries.",
+                         directory_.heldCount())};
+}
+
 StateDump DirectoryActor::dump() const
 {
     return {boost::json::object{
--- a/src/gateway/directoryactor.h
+++ b/src/gateway/directoryactor.h
@@ -79,6 +79,7 @@
     void reportSuspicion(const ReportSuspicion &message);
     void expireSoon();
     StateDump dump() const;
+    MetricsText metrics() const;
 
     Broker *self_;
     DirectoryContext context_;
@@ -92,6 +93,9 @@
     bool expiryTimer_ = false;
     bool leaving_ = false;
     std::uint64_t badEntries_ = 0;
+    std::uint64_t calls_ = 0; ///< To the store.
+    TimePoint answeredAt_;    ///< Last answer of the store.
+    TimePoint configurationTakenAt_;
 };
 
 } // namespace shallotwalk
--- a/src/gateway/gatewaytree.cpp
+++ b/src/gateway/gatewaytree.cpp
@@ -147,7 +147,8 @@
     {
         auto context = std::make_shared<HttpConnectionContext>();
         context->service = std::make_shared<GatewayService>(
-            paths, node_, relays_.root, std::vector<caf::actor>{relays_.groups, relays_.sessions});
+            paths, node_, relays_.root,
+            std::vector<caf::actor>{relays_.groups, relays_.sessions, relays_.directory});
         context->clock = clock_;
         const ListenerSettings listener{name, endpoint.host, endpoint.port,
                                         administrationConnectionLimit};
--- a/src/gateway/groupactor.cpp
+++ b/src/gateway/groupactor.cpp
@@ -148,6 +148,11 @@
         serving_ = serving;
         self_->send(context_.manager, ServingChanged{context_.scheduler.service, serving});
     }
+    if (const auto term = scheduler_->pauseTerm(); term != pauseTerm_) {
+        spdlog::info("event=replicas_pausing service={} term={} reason={}",
+                     logValue(context_.scheduler.service), term, logValue(scheduler_->suspicion()));
+        pauseTerm_ = term;
+    }
     std::string primary;
     for (const auto &[number, link] : scheduler_->servers()) {
         if (link.primary)
@@ -206,6 +211,7 @@
 
 void GroupActor::answer(const GroupRequest &request, GroupAnswer answer)
 {
+    recordLatency(request, answer);
     logOutcome(request, answer);
     const auto found = waiting_.extract(request.number);
     if (found.empty())
@@ -213,6 +219,14 @@
     self_->send(found.mapped(), StatementFinished{request.number, std::move(answer)});
 }
 
+void GroupActor::recordLatency(const GroupRequest &request, const GroupAnswer &answer)
+{
+    const auto now = context_.clock->now();
+    const auto outcome = answer.answer.error ? toString(*answer.answer.error) : "ok";
+    latencies_[std::string(outcome)].add(now - request.receivedAt);
+    waits_.add(answer.firstSentAt.value_or(now) - request.receivedAt);
+}
+
 void GroupActor::logOutcome(const GroupRequest &request, const GroupAnswer &answer) const
 {
     const auto waited = milliseconds(context_.clock->now() - request.receivedAt);
@@ -283,7 +297,8 @@
                                 {"servers", std::move(servers)},
                                 {"openRequests", scheduler_->openRequests()},
                                 {"openTransactions", scheduler_->openTransactions()},
-                                {"primarySuspicion", scheduler_->suspicion()}}};
+                                {"primarySuspicion", scheduler_->suspicion()},
+                                {"lastBrokenConnection", scheduler_->lastBreak()}}};
 }
 
 MetricsText GroupActor::metrics() const
@@ -312,7 +327,44 @@
                            "Statements answered with an error.", count,
                            labels + ",code=\"" + std::string(toString(code)) + "\"");
     }
+    text += latencyMetrics(labels);
+    text += connectionMetrics(labels);
     return {std::move(text)};
 }
 
+std::string GroupActor::latencyMetrics(std::string_view labels) const
+{
+    std::string text = "# HELP shallotwalk_statement_seconds Time from a statement to its answer.\n"
+                       "# TYPE shallotwalk_statement_seconds summary\n";
+    for (const auto &[outcome, latency] : latencies_) {
+        text += latency.toText("shallotwalk_statement_seconds",
+                               std::string(labels) + ",outcome=\"" + outcome + "\"");
+    }
+    text += "# HELP shallotwalk_queue_seconds Time that a statement waits in the proxy.\n"
+            "# TYPE shallotwalk_queue_seconds summary\n";
+    return text + waits_.toText("shallotwalk_queue_seconds", labels);
+}
+
+std::string GroupActor::connectionMetrics(std::string_view labels) const
+{
+    std::size_t open = 0;
+    std::size_t limit = 0;
+    std::size_t queued = 0;
+    for (const auto &[number, link] : scheduler_->servers()) {
+        open += link.openConnections();
+        limit += scheduler_->connectionShare();
+        queued += link.policy->queued();
+    }
+    const auto watermarkAge = context_.clock->now() - scheduler_->watermarks().newestAt();
+    return metricText("shallotwalk_server_connections", "gauge",
+                      "Open connections to the servers of a group.", open, labels)
+           + metricText("shallotwalk_server_connection_share", "gauge",
+                        "Connections that this proxy may keep to them.", limit, labels)
+           + metricText("shallotwalk_queued_statements", "gauge",
+                        "Statements that wait for a connection.", queued, labels)
+           + metricText("shallotwalk_watermark_age_ms", "gauge",
+                        "Since the newest known position of the primary was asked for.",
+                        milliseconds(watermarkAge), labels);
+}
+
 } // namespace shallotwalk
--- a/src/gateway/groupactor.h
+++ b/src/gateway/groupactor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/messages.h"
+#include "supervision/latencysummary.h"
 #include "supervision/supervision.h"
 
 #include <caf/io/broker.hpp>
@@ -52,9 +53,12 @@
     void handleData(const caf::io::new_data_msg &message);
     void handleClosed(const caf::io::connection_closed_msg &message);
     void afterEvent();
+    void recordLatency(const GroupRequest &request, const GroupAnswer &answer);
     void logOutcome(const GroupRequest &request, const GroupAnswer &answer) const;
     StateDump dump() const;
     MetricsText metrics() const;
+    std::string latencyMetrics(std::string_view labels) const;
+    std::string connectionMetrics(std::string_view labels) const;
 
     void openConnection(ServerConnectionKey key, const ServerRegistration &server) override;
     void sendCommands(ServerConnectionKey key, std::span<const ServerCommand> commands) override;
@@ -73,8 +77,11 @@
     std::unordered_map<RequestNumber, caf::actor> waiting_; ///< Sessions by request.
     std::vector<ServerConnectionKey> failedToOpen_;
     TimePoint timerAt_ = TimePoint::max();
+    std::map<std::string, LatencySummary, std::less<>> latencies_; ///< By "ok" or error code.
+    LatencySummary waits_; ///< In the proxy, until statements are first sent.
     bool serving_ = false;
     std::string primary_; ///< As last logged.
+    Term pauseTerm_ = 0;  ///< As last logged.
 };
 
 } // namespace shallotwalk
--- a/tests/gateway/test_processes.cpp
+++ b/tests/gateway/test_processes.cpp
@@ -279,6 +279,12 @@
     BOOST_TEST(metrics.find("shallotwalk_statements_total{service=\"bookings\"} 1")
                != std::string::npos);
     BOOST_TEST(metrics.find("shallotwalk_sessions_accepted_total 1") != std::string::npos);
+    for (const std::string expected :
+         {"shallotwalk_statement_seconds_count{service=\"bookings\",outcome=\"ok\"} 1",
+          "shallotwalk_queue_seconds_count{service=\"bookings\"} 1",
+          "shallotwalk_store_available 1", "shallotwalk_configuration_version ",
+          "shallotwalk_watermark_age_ms"})
+        BOOST_TEST(metrics.find(expected) != std::string::npos, expected);
     const auto state = fleet.administration(0, "/state");
     BOOST_TEST(state.find("\"service\":\"bookings\"") != std::string::npos);
     BOOST_TEST(state.find("\"primary\":true") != std::string::npos);
