--- a/tests/gateway/platformfleet.cpp
+++ b/tests/gateway/platformfleet.cpp
@@ -44,13 +44,14 @@
         proxy.readiness = ports[3 * i + 1];
         proxy.administration = ports[3 * i + 2];
         const auto platform = address(platform_.endpoint().port);
+        proxy.storeLink = std::make_unique<FaultLink>(platform_.endpoint().port);
         proxy.settings = std::make_unique<TemporaryFile>(json::serialize(json::object{
             {"node_name", "front-" + std::to_string(i)},
             {"zone", "nord-a"},
             {"listen", {{"front", address(proxy.front)}, {"ready", address(proxy.readiness)}}},
             {"internal_ports", {proxy.administration, proxy.administration}},
             {"bounds", {{"grace_s", 6}}},
-            {"platform", {{"address", platform}}},
+            {"platform", {{"address", address(proxy.storeLink->port())}}},
             {"cloud_api", {{"address", platform}}}}));
         restart(i);
     }
@@ -135,7 +136,7 @@
 
 std::size_t PlatformFleet::runs(const std::string &id)
 {
-    std::istringstream log(platform_.request("POST", "/fault/log", "{}"));
+    std::istringstream log(this->log());
     std::size_t count = 0;
     for (std::string line; std::getline(log, line);)
         count += line.starts_with(id + " ") ? 1 : 0;
--- a/tests/gateway/platformfleet.h
+++ b/tests/gateway/platformfleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/lineclient.h"
+#include "support/faultlink.h"
 #include "support/standinprocess.h"
 #include "support/temporaryfile.h"
 
@@ -23,12 +24,20 @@
 
     std::unique_ptr<LineClient> client(std::size_t proxy, std::string_view database);
 
+    std::uint16_t frontPort(std::size_t proxy) const { return proxies_.at(proxy).front; }
+
+    /// The link between a proxy and the platform's store.
+    FaultLink &storeLink(std::size_t proxy) { return *proxies_.at(proxy).storeLink; }
+
     bool ready(std::size_t proxy);
     bool waitUntilReady(std::size_t proxy, std::chrono::milliseconds wait);
 
     /// Body that the proxy's administration address gives for \a path.
     std::string administration(std::size_t proxy, const std::string &path);
 
+    /// The leader's log, one entry a line: "<statement> <item> <data>".
+    std::string log() { return platform_.request("POST", "/fault/log", "{}"); }
+
     /// How often the database's log holds the statement \a id.
     std::size_t runs(const std::string &id);
 
@@ -48,6 +57,7 @@
         std::uint16_t front = 0;
         std::uint16_t readiness = 0;
         std::uint16_t administration = 0;
+        std::unique_ptr<FaultLink> storeLink;
         std::unique_ptr<TemporaryFile> settings;
         std::unique_ptr<ChildProcess> process;
     };
--- a/tests/standins/platform/databasegroup.cpp
+++ b/tests/standins/platform/databasegroup.cpp
@@ -85,6 +85,20 @@
     return true;
 }
 
+void DatabaseGroup::revive(const std::string &id)
+{
+    const std::scoped_lock lock(mutex_);
+    auto &revived = members_.at(id);
+    revived.crashed = false;
+    revived.silent = false;
+    for (const auto &[other, member] : members_) {
+        if (member.primary && !revived.primary) {
+            revived.log = member.log;
+            revived.term = member.term;
+        }
+    }
+}
+
 void DatabaseGroup::setLag(Milliseconds lag)
 {
     const std::scoped_lock lock(mutex_);
--- a/tests/standins/platform/databasegroup.h
+++ b/tests/standins/platform/databasegroup.h
@@ -74,6 +74,9 @@
     /// than one seen before.
     bool promote(const std::string &id, std::int64_t token);
 
+    /// Ends the faults of member \a id. Unless it still leads, it follows the leader with its log.
+    void revive(const std::string &id);
+
     void setLag(Milliseconds lag);
 
     /// All entries of the leader's log, one a line: "<statement> <item> <data>".
--- a/tests/standins/platform/platformhandler.cpp
+++ b/tests/standins/platform/platformhandler.cpp
@@ -318,6 +318,10 @@
         registerServers();
     } else if (path == "silence") {
         group_.with(id(), [](auto &member) { member.silent = true; });
+    } else if (path == "revive") {
+        group_.revive(id());
+        const std::scoped_lock lock(mutex_);
+        registerServers();
     } else if (path == "lose_answers") {
         group_.with(id(), [](auto &member) { member.lostAnswers = 1; });
     } else if (path == "lag") {
