--- a/src/core/promotionplanner.cpp
+++ b/src/core/promotionplanner.cpp
@@ -88,9 +88,9 @@
     return best;
 }
 
-void PromotionPlanner::setAgreement(std::size_t agreeing, std::size_t proxies)
+void PromotionPlanner::setAgreement(std::size_t agreeing, std::size_t witnesses)
 {
-    agreed_ = 2 * agreeing >= proxies;
+    agreed_ = 2 * agreeing >= witnesses;
 }
 
 FailoverStep PromotionPlanner::review(std::span<const FailoverCandidate> servers,
--- a/src/core/promotionplanner.h
+++ b/src/core/promotionplanner.h
@@ -59,7 +59,7 @@
 
 /// Decides when the primary of a group is replaced, and by which replica. A primary that is leaving
 /// or gone is replaced at once; a silent one only when some replica answers this proxy and half of
-/// the fleet finds it silent, since otherwise this proxy may be cut off from a primary that serves
+/// the witnesses find it silent, since otherwise this proxy may be cut off from a primary that serves
 /// the others. A server that an earlier promotion has left behind is never chosen: that would bring
 /// back what was rolled back, after it was read without.
 ///
@@ -77,8 +77,8 @@
     FailoverStep review(std::span<const FailoverCandidate> servers, Duration missingFor,
                         TimePoint now) const;
 
-    /// \a agreeing of the fleet's \a proxies, this one included, suspect the primary.
-    void setAgreement(std::size_t agreeing, std::size_t proxies);
+    /// \a agreeing of the \a witnesses, the proxies whose view counts, suspect the primary.
+    void setAgreement(std::size_t agreeing, std::size_t witnesses);
 
     /// A commit is acknowledged once \a count replicas have received it.
     void setConfirmReplicas(std::uint32_t count) { confirmReplicas_ = count; }
@@ -104,7 +104,7 @@
 
     FailoverSettings settings_;
     std::uint32_t confirmReplicas_ = 0;
-    bool agreed_ = true; ///< Half of the fleet suspects the primary.
+    bool agreed_ = true; ///< Half of the witnesses suspect the primary.
     TimePoint nextOrderAt_;
     TimePoint nextOrderAfterOthersAt_;
 };
