--- a/src/core/promotionplanner.h
+++ b/src/core/promotionplanner.h
@@ -59,9 +59,9 @@
 
 /// Decides when the primary of a group is replaced, and by which replica. A primary that is leaving
 /// or gone is replaced at once; a silent one only when some replica answers this proxy and half of
-/// the witnesses find it silent, since otherwise this proxy may be cut off from a primary that serves
-/// the others. A server that an earlier promotion has left behind is never chosen: that would bring
-/// back what was rolled back, after it was read without.
+/// the witnesses find it silent, since otherwise this proxy may be cut off from a primary that
+/// serves the others. A server that an earlier promotion has left behind is never chosen: that
+/// would bring back what was rolled back, after it was read without.
 ///
 /// Where commits are acknowledged once replicas have received them, enough replicas are paused
 /// before the choice that no commit can be acknowledged behind it. A pause is never taken back,
