Record a promotion only over the record that its choice was made with

A proxy whose store had been away read the suspicion that had led to a promotion before that promotion's record, in one answer; its group wanted a promotion by the old state, and the order was written over the newer record, because the actor that writes it had learnt the record's revision meanwhile.

Ruled out: a new primary that had not applied its log (its report shows 1.112 received and applied), the pause of replicas, the witnesses.

Change: OrderPromotion carries the revision of the record that the group knew, and the conditional write expects exactly that; the promotion's actor keeps no revisions of its own. The directory passes on suspicions after all of one answer was applied. Test: gatewayactors, promotion_actor.

--- a/src/gateway/directoryactor.cpp
+++ b/src/gateway/directoryactor.cpp
@@ -221,7 +221,7 @@
             } else if (key.starts_with(suspicionsPrefix)) {
                 const auto [service, vm] = parseSuspicionKey(key);
                 directory_.suspicionSeen(service, vm, item.value);
-                publishSuspicions(service);
+                suspicionsChanged_.emplace(service);
             } else if (key.starts_with(promotionsPrefix)) {
                 BOOST_LEAF_AUTO(record, decodePromotion(item.value, item.modRevision));
                 directory_.promotionSeen(record);
@@ -264,7 +264,7 @@
     } else if (key.starts_with(suspicionsPrefix)) {
         const auto [service, vm] = parseSuspicionKey(key);
         directory_.suspicionGone(service, vm);
-        publishSuspicions(service);
+        suspicionsChanged_.emplace(service);
     }
 }
 
@@ -373,10 +373,18 @@
     directory_.storeAnswered(answeredAt_);
 }
 
+/// Tells the groups what has changed, after all of one answer was applied: a suspicion that is read
+/// before the promotion that it has led to must not lead to another one.
 void DirectoryActor::publish()
 {
-    if (!std::exchange(changed_, false))
-        return;
+    if (std::exchange(changed_, false))
+        publishDirectory();
+    for (const auto &service : std::exchange(suspicionsChanged_, {}))
+        publishSuspicions(service);
+}
+
+void DirectoryActor::publishDirectory()
+{
     DirectoryChanged message;
     if (directory_.configuration())
         message.configuration =
@@ -388,8 +396,7 @@
     for (auto &record : directory_.promotions())
         self_->send(context_.groups, PromotionRecorded{std::move(record)});
     // The witnesses depend on the proxies of the fleet.
-    for (const auto &service : directory_.services())
-        publishSuspicions(service);
+    suspicionsChanged_.merge(directory_.services());
 }
 
 void DirectoryActor::publishSuspicions(std::string_view service)
--- a/src/gateway/directoryactor.h
+++ b/src/gateway/directoryactor.h
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace shallotwalk {
@@ -75,6 +76,7 @@
     void noteFailure(std::string_view call, std::string_view error);
     void noteAnswer();
     void publish();
+    void publishDirectory();
     void publishSuspicions(std::string_view service);
     void reportSuspicion(const ReportSuspicion &message);
     void expireSoon();
@@ -88,8 +90,9 @@
     std::int64_t listRevision_ = 0; ///< Of the first page of the listing in progress.
     std::uint64_t lease_ = 0;       ///< 0: none.
     std::uint64_t renewal_ = 0;     ///< The renewal that is due next; earlier ones are void.
-    TimePoint watchedAt_;           ///< Last call that waits for changes.
-    bool changed_ = false;          ///< Since the last publication.
+    std::set<std::string, std::less<>> suspicionsChanged_; ///< By service, likewise.
+    TimePoint watchedAt_;                                  ///< Last call that waits for changes.
+    bool changed_ = false;                                 ///< Since the last publication.
     bool expiryTimer_ = false;
     bool leaving_ = false;
     std::uint64_t badEntries_ = 0;
--- a/src/gateway/groupactor.cpp
+++ b/src/gateway/groupactor.cpp
@@ -63,6 +63,7 @@
         },
         [this](const GroupConfigured &message) { configure(message); },
         [this](const PromotionRecorded &message) {
+            recordRevision_ = std::max(recordRevision_, message.record.revision);
             scheduler_->promotionSeen(message.record, context_.clock->now());
             afterEvent();
         },
@@ -271,7 +272,7 @@
 {
     spdlog::warn("event=promotion_wanted service={} server={} reason={}", logValue(choice.service),
                  logValue(choice.server), choice.reason);
-    self_->send(context_.promotions, OrderPromotion{choice});
+    self_->send(context_.promotions, OrderPromotion{choice, recordRevision_});
 }
 
 StateDump GroupActor::dump() const
--- a/src/gateway/groupactor.h
+++ b/src/gateway/groupactor.h
@@ -80,8 +80,9 @@
     std::map<std::string, LatencySummary, std::less<>> latencies_; ///< By "ok" or error code.
     LatencySummary waits_; ///< In the proxy, until statements are first sent.
     bool serving_ = false;
-    std::string primary_; ///< As last logged.
-    Term pauseTerm_ = 0;  ///< As last logged.
+    std::string primary_;             ///< As last logged.
+    std::int64_t recordRevision_ = 0; ///< Of the newest promotion that the scheduler knows.
+    Term pauseTerm_ = 0;              ///< As last logged.
 };
 
 } // namespace shallotwalk
--- a/src/gateway/groupsmanager.cpp
+++ b/src/gateway/groupsmanager.cpp
@@ -72,7 +72,6 @@
             self_->send(context_.directory, DirectoryRequest{});
         },
         [this](const PromotionRecorded &message) {
-            self_->send(context_.promotions, message);
             const auto found = groups_.find(message.record.service);
             if (found != groups_.end())
                 self_->send(found->second, message);
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -67,6 +67,9 @@
 struct OrderPromotion
 {
     PromotionChoice choice;
+    /// Of the last record of a promotion that the choice was made with; 0: none. If the store has a
+    /// newer one, the choice may bring back what that promotion has rolled back.
+    std::int64_t recordRevision = 0;
 };
 
 /// An order can't be carried out.
--- a/src/gateway/promotionactor.cpp
+++ b/src/gateway/promotionactor.cpp
@@ -15,11 +15,7 @@
 {
     context_ = std::move(context);
     return {
-        [this](const OrderPromotion &message) { record(message.choice); },
-        [this](const PromotionRecorded &message) {
-            auto &revision = revisions_[message.record.service];
-            revision = std::max(revision, message.record.revision);
-        },
+        [this](const OrderPromotion &message) { record(message); },
         [this](DrainRequest) { self_->quit(); },
         [this](StateDumpRequest) {
             return StateDump{boost::json::object{
@@ -46,12 +42,13 @@
     return context_.vm + '-' + std::to_string(time) + '-' + std::to_string(++nonces_);
 }
 
-void PromotionActor::record(const PromotionChoice &choice)
+void PromotionActor::record(const OrderPromotion &message)
 {
-    if (orders_.contains(choice.service))
+    const auto &service = message.choice.service;
+    if (orders_.contains(service))
         return;
-    orders_[choice.service] = {choice, nextNonce(), 0, 0};
-    write(choice.service, revisions_[choice.service]);
+    orders_[service] = {message.choice, nextNonce(), 0, 0};
+    write(service, message.recordRevision);
 }
 
 void PromotionActor::write(const std::string &service, std::int64_t expectedRevision)
@@ -72,7 +69,6 @@
                      BOOST_LEAF_AUTO(write, context_.protocols.store->decodeWrite(response));
                      if (write.written) {
                          orders_.at(service).token = write.revision;
-                         revisions_[service] = write.revision;
                          this->order(service);
                          return {};
                      }
@@ -92,8 +88,6 @@
 /// Takes a record that was read here, before the watch reports it.
 void PromotionActor::learn(const PromotionRecord &record)
 {
-    auto &revision = revisions_[record.service];
-    revision = std::max(revision, record.revision);
     self_->send(context_.groups, PromotionRecorded{record});
 }
 
--- a/src/gateway/promotionactor.h
+++ b/src/gateway/promotionactor.h
@@ -55,7 +55,7 @@
     };
 
     caf::behavior start(PromotionContext context);
-    void record(const PromotionChoice &choice);
+    void record(const OrderPromotion &message);
     void write(const std::string &service, std::int64_t expectedRevision);
     void verify(const std::string &service);
     void learn(const PromotionRecord &record);
@@ -68,8 +68,7 @@
 
     Broker *self_;
     PromotionContext context_;
-    std::map<std::string, Order, std::less<>> orders_;           ///< In progress, by service.
-    std::map<std::string, std::int64_t, std::less<>> revisions_; ///< Of the last known records.
+    std::map<std::string, Order, std::less<>> orders_; ///< In progress, by service.
     std::uint64_t nonces_ = 0;
     std::uint64_t accepted_ = 0;
     std::uint64_t failed_ = 0;
--- a/tests/httpcaller/slowserver.cpp
+++ b/tests/gatewayactors/slowserver.cpp
@@ -1,4 +1,4 @@
-#include "httpcaller/slowserver.h"
+#include "gatewayactors/slowserver.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/tests/httpcaller/test_httpcaller.cpp
+++ b/tests/gatewayactors/test_httpcaller.cpp
@@ -1,6 +1,6 @@
 #include "gateway/gateway.h"
 #include "gateway/httpcaller.h"
-#include "httpcaller/slowserver.h"
+#include "gatewayactors/slowserver.h"
 
 #include <boost/test/unit_test.hpp>
 #include <caf/io/middleman.hpp>
--- /dev/null
+++ b/tests/gatewayactors/test_promotionactor.cpp
@@ -0,0 +1,77 @@
+#include "gateway/gateway.h"
+#include "gateway/promotionactor.h"
+#include "gateway/registryrecords.h"
+#include "gatewayactors/fakestoreprotocol.h"
+
+#include <boost/test/unit_test.hpp>
+#include <caf/io/middleman.hpp>
+#include <caf/scoped_actor.hpp>
+
+using namespace shallotwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Answers each call with success and passes it on to \a observer.
+caf::behavior fakeCaller(caf::event_based_actor *self, const caf::actor &observer)
+{
+    return {[=](const HttpCallRequest &request) {
+        self->send(observer, request);
+        HttpCallResult result;
+        result.response.status = 200;
+        return result;
+    }};
+}
+
+struct PromotionFixture
+{
+    PromotionFixture()
+        : config()
+        , system((configureGateway(config), config))
+        , self(system)
+    {
+        PromotionContext context;
+        context.vm = "front-1";
+        context.protocols.store = store;
+        context.storeCaller = system.spawn(fakeCaller, caf::actor(self));
+        context.groups = self;
+        context.clock = std::make_shared<BootClock>();
+        promotions = system.middleman().spawn_broker(&PromotionActor::run, std::move(context));
+    }
+    ~PromotionFixture() { caf::anon_send_exit(promotions, caf::exit_reason::user_shutdown); }
+
+    caf::actor_system_config config;
+    caf::actor_system system;
+    caf::scoped_actor self;
+    std::shared_ptr<FakeStoreProtocol> store = std::make_shared<FakeStoreProtocol>();
+    caf::actor promotions;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(promotion_actor, PromotionFixture)
+
+// Guards against a promotion that brings back what an earlier one has rolled back: a proxy whose
+// store had been away chose before it had read that the group had a new primary, and its order was
+// recorded over the newer record (STALE 216 on lakour-skip, trouble-1 with seed 417241688857).
+BOOST_AUTO_TEST_CASE(order_is_recorded_only_over_the_record_that_the_choice_was_made_with)
+{
+    const PromotionRecord newer{"bookings", "r1", "front-2", "nonce", {1, 113}, 27};
+    store->written.present = KeyValue{"promotions/bookings", encodePromotion(newer), 27};
+    self->send(promotions, OrderPromotion{{"bookings", "r2", {1, 161}, "no_primary"}, 12});
+    std::string expectedRevision;
+    self->receive([&](const HttpCallRequest &request) { expectedRevision = request.call.target; },
+                  caf::after(5s) >> [] { BOOST_ERROR("nothing was written"); });
+    BOOST_TEST(expectedRevision == "12");
+    // The group learns the record that its choice lacked.
+    PromotionRecord learnt;
+    self->receive([&](const PromotionRecorded &message) { learnt = message.record; },
+                  caf::after(5s) >> [] { BOOST_ERROR("no record"); });
+    BOOST_TEST(learnt.server == "r1");
+    bool failed = false;
+    self->receive([&](const PromotionFailed &) { failed = true; },
+                  caf::after(5s) >> [] { BOOST_ERROR("no failure"); });
+    BOOST_TEST(failed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
