Say what the set of changed suspicions holds

Cause: its comment said "likewise" and stood before the line that it meant. Only a comment; format, boundary and the compilation of directoryactor.cpp checked.

--- a/src/gateway/directoryactor.h
+++ b/src/gateway/directoryactor.h
@@ -90,9 +90,10 @@
     std::int64_t listRevision_ = 0; ///< Of the first page of the listing in progress.
     std::uint64_t lease_ = 0;       ///< 0: none.
     std::uint64_t renewal_ = 0;     ///< The renewal that is due next; earlier ones are void.
-    std::set<std::string, std::less<>> suspicionsChanged_; ///< By service, likewise.
-    TimePoint watchedAt_;                                  ///< Last call that waits for changes.
-    bool changed_ = false;                                 ///< Since the last publication.
+    std::set<std::string, std::less<>>
+        suspicionsChanged_; ///< Services, since the last publication.
+    TimePoint watchedAt_;   ///< Last call that waits for changes.
+    bool changed_ = false;  ///< Since the last publication.
     bool expiryTimer_ = false;
     bool leaving_ = false;
     std::uint64_t badEntries_ = 0;
