Take free ports in the peers test without an actor system

Cause: freePort() opened a listener and ended its actor system at once. CAF's doorman holds a reference to itself until the multiplexer has removed it from its loop; the loop had ended before, so LeakSanitizer reported 200 bytes for each call. The listener itself is not at fault: a process that ends takes the multiplexer with it. Change: the test takes its ports from tests/support/freeports, as others do.

--- a/tests/peers/test_membershipactor.cpp
+++ b/tests/peers/test_membershipactor.cpp
@@ -1,4 +1,5 @@
 #include "peers/peerfixture.h"
+#include "support/freeports.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,13 +11,6 @@
 
 namespace {
 
-/// Address of this process where nothing listens at the moment.
-std::uint16_t freePort()
-{
-    PeerNode probe("probe", "key");
-    return probe.port;
-}
-
 /// A whole peers branch under its supervisor.
 struct Branch
 {
@@ -69,9 +63,9 @@
 // against a peers branch whose parts don't know each other after a restart.
 BOOST_AUTO_TEST_CASE(two_branches_find_each_other_and_survive_a_restart)
 {
-    const auto firstPort = freePort();
-    Branch first("vm1", firstPort, {});
-    Branch second("vm2", freePort(), {{"", "127.0.0.1", firstPort}});
+    const auto ports = freePorts(2);
+    Branch first("vm1", ports[0], {});
+    Branch second("vm2", ports[1], {{"", "127.0.0.1", ports[0]}});
     second.awaitMembers(2);
     first.awaitMembers(2);
 
