Refuse odd entries of the store without losing the rest

Cause: another writer may leave an entry that is nested deeply, has a number out of range or bytes that are no text. The parser's bounds held already, so no process ended. But an item whose envelope couldn't be read failed the whole page or watch, which was then repeated for ever (a proxy that no longer follows the store); a key that isn't UTF-8 did the same; a known server whose own entry was overwritten was dropped, which costs a promotion; an id with a line break would have added a line to what a server is sent; fractions were taken as counts; and each heartbeat of an odd entry wrote a log line, of up to 1 MiB. Change: items are read one by one; the server's last valid entry is kept until it is removed or valid again; ids must be one word; slots and born must be whole; messages are short; each invalid key is logged once and counted.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -28,6 +28,7 @@
 #include "core/groupport.h"
 #include "core/grouprequest.h"
 #include "core/groupscheduler.h"
+#include "core/invalidentries.h"
 #include "core/ipnumber.h"
 #include "core/keyvalue.h"
 #include "core/lease.h"
--- a/src/core/directory.cpp
+++ b/src/core/directory.cpp
@@ -32,6 +32,13 @@
     return remove(servers_, id, now);
 }
 
+void Directory::serverInvalid(std::string_view id)
+{
+    const auto found = servers_.find(id);
+    if (found != servers_.end())
+        found->second.listed = true;
+}
+
 bool Directory::proxySeen(std::string_view name)
 {
     const auto [proxy, added] = proxies_.try_emplace(std::string(name));
--- a/src/core/directory.h
+++ b/src/core/directory.h
@@ -73,6 +73,9 @@
     bool serverGone(std::string_view id, TimePoint now);
     /// Adds or updates the entry of a proxy. Returns whether the proxy is new.
     bool proxySeen(std::string_view name);
+    /// The server's entry can't be decoded. What its last valid entry said is kept until the entry
+    /// is valid again or disappears, since the server itself has not said that it leaves.
+    void serverInvalid(std::string_view id);
     /// Like serverGone(), for the entry of a proxy.
     bool proxyGone(std::string_view name, TimePoint now);
     /// Stores \a record unless one with the same or a higher revision is known for its service.
--- a/src/gateway/directoryactor.cpp
+++ b/src/gateway/directoryactor.cpp
@@ -230,27 +230,30 @@
                 directory_.promotionSeen(record);
                 self_->send(context_.groups, PromotionRecorded{std::move(record)});
             }
+            invalidEntries_.remove(key);
             return {};
         },
-        [&](const Failure &failure) {
-            // A server whose entry can't be decoded must not be used any more.
-            if (key.starts_with(format.serversPrefix()))
-                applyRemoval(key);
-            ++badEntries_;
-            spdlog::warn("event=store_entry_ignored key={} revision={} reason={}", logValue(key),
-                         item.modRevision, logValue(failure.message));
-        },
-        [&] {
-            ++badEntries_;
-            spdlog::warn("event=store_entry_ignored key={} revision={} reason=unknown",
-                         logValue(key), item.modRevision);
-        });
+        [&](const Failure &failure) { applyInvalidItem(item, failure.message); },
+        [&] { applyInvalidItem(item, "unknown error"); });
+}
+
+void DirectoryActor::applyInvalidItem(const KeyValue &item, std::string_view reason)
+{
+    const std::string_view key = item.key;
+    const auto prefix = context_.protocols.directory->serversPrefix();
+    if (key.starts_with(prefix))
+        directory_.serverInvalid(key.substr(prefix.size()));
+    if (invalidEntries_.add(key)) {
+        spdlog::warn("event=store_entry_ignored key={} revision={} reason={}", logValue(key),
+                     item.modRevision, logValue(reason));
+    }
 }
 
 void DirectoryActor::applyRemoval(std::string_view key)
 {
     const auto now = context_.clock->now();
     const auto prefix = context_.protocols.directory->serversPrefix();
+    invalidEntries_.remove(key);
     if (key.starts_with(prefix)) {
         const auto id = key.substr(prefix.size());
         const bool removed = directory_.serverGone(id, now);
@@ -461,6 +464,8 @@
                          configuration ? configuration->tables->version : 0)
             + metricText("shallotwalk_configuration_age_ms", "gauge",
                          "Since this proxy took that version.", ageMs(configurationTakenAt_))
+            + metricText("shallotwalk_invalid_entries", "gauge",
+                         "Entries of the store that can't be decoded.", invalidEntries_.size())
             + metricText("shallotwalk_held_entries", "gauge",
                          "Servers and proxies kept although the store has lost their entries.",
                          directory_.heldCount())};
@@ -473,7 +478,7 @@
         {"storeAvailable", directory_.storeAvailable()},
         {"servers", directory_.servers().size()},
         {"heldEntries", directory_.heldCount()},
-        {"badEntries", badEntries_},
+        {"badEntries", invalidEntries_.size()},
         {"proxies", directory_.proxyCount()},
         {"configuration",
          directory_.configuration() ? directory_.configuration()->tables->version : 0},
--- a/src/gateway/directoryactor.h
+++ b/src/gateway/directoryactor.h
@@ -72,6 +72,7 @@
     void handleChanges(const StoreChanges &changes);
     void watchFailed();
     void applyItem(const KeyValue &item);
+    void applyInvalidItem(const KeyValue &item, std::string_view reason);
     void applyRemoval(std::string_view key);
     void joinFleet();
     void writeFleetEntry();
@@ -104,7 +105,7 @@
     bool directoryChanged_ = false;  ///< Changed since the last publication.
     bool expiryScheduled_ = false;   ///< An ExpireEntries message is scheduled.
     bool leaving_ = false;           ///< The fleet has been left; no new lease is requested.
-    std::uint64_t badEntries_ = 0;   ///< Entries ignored because they could not be decoded.
+    InvalidEntries invalidEntries_;  ///< Entries ignored because they could not be decoded.
     std::uint64_t storeCalls_ = 0;   ///< Calls made to the store.
     TimePoint lastAnswerAt_;         ///< Time of the last successful answer of the store.
     TimePoint configurationTakenAt_; ///< Time when the configuration in force was adopted.
--- a/src/wire/jsonreader.cpp
+++ b/src/wire/jsonreader.cpp
@@ -24,12 +24,20 @@
     return {static_cast<std::size_t>(line), column, std::move(message)};
 }
 
-} // namespace
+/// Longest part of a refused value that a message shows, in bytes.
+constexpr std::size_t maxShownBytes = 80;
 
-JsonParsing parseJson(std::string_view text)
+/// Returns \a value for a message.
+std::string shown(const json::value &value)
+{
+    auto text = json::serialize(value);
+    if (text.size() > maxShownBytes)
+        text = text.substr(0, maxShownBytes) + "...";
+    return text;
+}
+
+JsonParsing parse(std::string_view text, const json::parse_options &options)
 {
-    json::parse_options options;
-    options.allow_comments = true;
     json::stream_parser parser({}, options);
     json::error_code error;
     const auto used = parser.write_some(text.data(), text.size(), error);
@@ -42,6 +50,22 @@
     return {parser.release(), std::nullopt};
 }
 
+} // namespace
+
+JsonParsing parseJson(std::string_view text)
+{
+    json::parse_options options;
+    options.allow_comments = true;
+    return parse(text, options);
+}
+
+JsonParsing parseForeignJson(std::string_view text)
+{
+    json::parse_options options;
+    options.allow_invalid_utf8 = true;
+    return parse(text, options);
+}
+
 Result<json::value> parseJsonWithComments(std::string_view text)
 {
     auto parsing = parseJson(text);
@@ -180,6 +204,18 @@
     return object_ == nullptr ? nullptr : object_->if_contains({key.data(), key.size()});
 }
 
+bool JsonReader::isWholeOrAbsent(std::string_view key)
+{
+    const auto *value = find(key);
+    if (value == nullptr || !value->is_double())
+        return true;
+    const double number = value->get_double();
+    if (std::trunc(number) == number)
+        return true;
+    problem(key, "must be a whole number, not " + shown(*value));
+    return false;
+}
+
 bool JsonReader::readInteger(std::string_view key, std::int64_t &value, std::int64_t lowest,
                              std::int64_t highest)
 {
@@ -190,7 +226,7 @@
     const auto integer = toInteger(*member);
     value = integer.value_or(0);
     if (!integer) {
-        problem(key, "must be an integer from " + range + ", not " + json::serialize(*member));
+        problem(key, "must be an integer from " + range + ", not " + shown(*member));
         return false;
     }
     if (value < lowest || value > highest) {
@@ -233,7 +269,7 @@
             target.push_back(*number);
         else
             problem(key, "must hold integers from " + std::to_string(lowest) + " to "
-                             + std::to_string(highest) + ", not " + json::serialize(entry));
+                             + std::to_string(highest) + ", not " + shown(entry));
     }
 }
 
@@ -250,7 +286,7 @@
             return i;
         list += (list.empty() ? "\"" : ", \"") + std::string(names[i]) + "\"";
     }
-    problem(key, "must be one of " + list + ", not " + json::serialize(*member));
+    problem(key, "must be one of " + list + ", not " + shown(*member));
     return std::nullopt;
 }
 
--- a/src/wire/jsonreader.h
+++ b/src/wire/jsonreader.h
@@ -41,6 +41,9 @@
 /// Parses JSON with comments. Thread-safe.
 JsonParsing parseJson(std::string_view text);
 
+/// Parses JSON of another program, whose strings may hold bytes that are not UTF-8. Thread-safe.
+JsonParsing parseForeignJson(std::string_view text);
+
 /// As parseJson(), for callers that pass the error on. Fails with ErrorCode::BadRequest and the
 /// line and column. Thread-safe.
 Result<boost::json::value> parseJsonWithComments(std::string_view text);
@@ -90,6 +93,16 @@
     void integers(std::string_view key, std::vector<std::int64_t> &target, std::int64_t lowest,
                   std::int64_t highest);
 
+    /// As integer(), but a number with a fraction is a problem in foreign documents too.
+    template<class Integer>
+    void wholeNumber(std::string_view key, Integer &target, std::int64_t lowest,
+                     std::int64_t highest)
+    {
+        std::int64_t value = 0;
+        if (isWholeOrAbsent(key) && readInteger(key, value, lowest, highest))
+            target = static_cast<Integer>(value);
+    }
+
     /// Reads a number of milliseconds into a std::chrono duration.
     template<class Period>
     void milliseconds(std::string_view key, Period &target, std::int64_t lowest,
@@ -126,6 +139,7 @@
 
 private:
     const boost::json::value *find(std::string_view key);
+    bool isWholeOrAbsent(std::string_view key);
     bool readInteger(std::string_view key, std::int64_t &value, std::int64_t lowest,
                      std::int64_t highest);
     std::optional<std::size_t> readChoice(std::string_view key,
--- a/tests/gateway/test_processes.cpp
+++ b/tests/gateway/test_processes.cpp
@@ -1,4 +1,6 @@
 #include "gateway/platformfleet.h"
+#include "support/oddentries.h"
+#include "wire/storecodec.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -194,6 +196,47 @@
     BOOST_TEST(fleet.client(0, "rounds")->query("WRITE item data").ok());
 }
 
+// Guards against entries of another writer, nested deeply or out of range, that end the process,
+// stop it from following the store, or take away a server whose own entry was overwritten.
+BOOST_AUTO_TEST_CASE(odd_entries_cost_neither_the_process_nor_the_watch)
+{
+    PlatformFleet fleet(1);
+    const auto write = [&](const std::string &key, const std::string &value) {
+        fleet.fault("entry", R"({"key": ")" + key + R"(", "base64": ")"
+                                 + shallotwalk::encodeBase64(value) + R"("})");
+    };
+    const auto entries = shallotwalk::oddServerEntries();
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        write("servers/odd-" + std::to_string(i), entries[i].value);
+        // The primary's own entry turns odd too. It serves on.
+        write("servers/db-1", entries[i].value);
+    }
+    write("servers/twice", entries.front().value);
+    write("servers/twice", entries.front().value);
+    fleet.configure(2, "first");
+    const auto end = std::chrono::steady_clock::now() + 5s;
+    std::string state;
+    while (state.find("\"configuration\":2") == std::string::npos
+           && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(50ms);
+        state = fleet.administration(0, "/state");
+    }
+    BOOST_TEST(state.find("\"configuration\":2") != std::string::npos, state);
+    BOOST_TEST(fleet.client(0, "first")->query("WRITE item data").ok());
+    BOOST_TEST(!fleet.process(0).waitForExit(0ms));
+    BOOST_TEST(fleet.leader() == "db-1");
+    // The watch has not failed, so the store was listed once.
+    const auto metrics = fleet.administration(0, "/metrics");
+    BOOST_TEST(metrics.find("shallotwalk_store_available 1") != std::string::npos, metrics);
+    const std::string name = "\nshallotwalk_invalid_entries ";
+    const auto found = metrics.find(name);
+    BOOST_REQUIRE(found != std::string::npos);
+    // The primary may have written its own entry again.
+    const auto invalid = std::stoul(metrics.substr(found + name.size()));
+    BOOST_TEST(invalid >= entries.size() + 1);
+    BOOST_TEST(invalid <= entries.size() + 2);
+}
+
 // Guards against a shutdown that aborts an open transaction, or that never completes.
 BOOST_AUTO_TEST_CASE(shutdown_lets_transactions_end)
 {
--- a/tests/sessions/test_directory.cpp
+++ b/tests/sessions/test_directory.cpp
@@ -77,6 +77,34 @@
     BOOST_TEST(directory.servers().size() == 1);
 }
 
+// Guards against losing a server that serves because another writer has overwritten its entry.
+BOOST_AUTO_TEST_CASE(server_whose_entry_turns_invalid_is_kept_until_the_entry_is_removed)
+{
+    directory.serverSeen(server("a"));
+    directory.serverInvalid("a");
+    directory.serverInvalid("unknown");
+    BOOST_TEST(directory.servers().size() == 1);
+    directory.beginListing();
+    directory.serverInvalid("a");
+    BOOST_TEST(!directory.endListing(now));
+    BOOST_TEST(directory.servers().size() == 1);
+    BOOST_TEST(directory.serverGone("a", now));
+    BOOST_TEST(directory.servers().empty());
+}
+
+// Guards against a log line at each heartbeat of an entry that can't be decoded.
+BOOST_AUTO_TEST_CASE(invalid_entry_is_new_only_once)
+{
+    InvalidEntries invalid;
+    BOOST_TEST(invalid.add("servers/a"));
+    BOOST_TEST(!invalid.add("servers/a"));
+    BOOST_TEST(invalid.add("servers/b"));
+    BOOST_TEST(invalid.size() == 2);
+    invalid.remove("servers/a");
+    invalid.remove("servers/unknown");
+    BOOST_TEST(invalid.add("servers/a"));
+}
+
 BOOST_AUTO_TEST_CASE(repeated_entry_is_no_change)
 {
     BOOST_TEST(directory.serverSeen(server("a")));
--- a/tests/standins/platform/platformhandler.cpp
+++ b/tests/standins/platform/platformhandler.cpp
@@ -308,9 +308,14 @@
         ++revision_;
         changed_.notify_all();
     } else if (path == "entry") {
+        // The value as text, or as base64 where it holds bytes that JSON can't.
+        const auto *encoded = body.if_contains("base64");
         const std::scoped_lock lock(mutex_);
         put(std::string(body.at("key").as_string()),
-            shallotwalk::encodeBase64(std::string_view(body.at("value").as_string())), 0);
+            encoded != nullptr
+                ? std::string(encoded->as_string())
+                : shallotwalk::encodeBase64(std::string_view(body.at("value").as_string())),
+            0);
     } else if (path == "crash") {
         group_.with(id(), [](auto &member) { member.crashed = true; });
         servers_.at(id())->closeConnections();
