Answer the statement in progress before a session is closed at a stop

Cause: 3.4 s after SIGTERM all sessions were closed, those with a statement in progress too. Change: a session with a statement in progress closes with its answer, which comes by the route's timeout; the process ends after 5/6 of the grace instead of 3/4, so that there is time for it. Ruled out: closing later, which leaves open transactions of idle clients.

--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -17,7 +17,7 @@
     ShutdownTimes times;
     times.closeIdle = std::min(times.closeIdle, grace * 3 / 8);
     times.closeAll = grace * 9 / 16;
-    times.exit = grace * 3 / 4;
+    times.exit = grace * 5 / 6;
     return times;
 }
 
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -16,11 +16,12 @@
     /// Closing of idle sessions. By default late enough for the load balancer to have stopped
     /// sending clients: it asks for readiness once a second and stops after two negative answers.
     Duration closeIdle{std::chrono::milliseconds(2200)};
-    Duration closeAll{0}; ///< Closing of all sessions; open transactions are rolled back.
-    Duration exit{0};     ///< End of the process, even if sessions remain.
+    /// Closing of all sessions without a statement in progress; open transactions are rolled back.
+    Duration closeAll{0};
+    Duration exit{0}; ///< End of the process, even if sessions remain.
 
     /// Times for a process that is killed \a grace after the signal. Transactions get a little more
-    /// than the first half of it to finish.
+    /// than the first half of it to finish, and their last statements until its last sixth.
     static ShutdownTimes within(Duration grace);
 };
 
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -141,7 +141,7 @@
 {
 };
 
-/// Tells the sessions to end at once, even within a transaction.
+/// Tells the sessions to end, even within a transaction, as soon as no statement is in progress.
 struct CloseAllSessions
 {
 };
--- a/src/gateway/sessionactor.cpp
+++ b/src/gateway/sessionactor.cpp
@@ -63,7 +63,13 @@
             closeWhenIdle_ = true;
             closeIfIdle();
         },
-        [this](CloseAllSessions) { close(); },
+        [this](CloseAllSessions) {
+            // A statement in progress is answered first; it ends at its route's timeout at the
+            // latest.
+            closeWhenAnswered_ = true;
+            if (pendingRequest_ == 0)
+                close();
+        },
         [this](DrainRequest) { close(); },
     };
 }
@@ -160,7 +166,10 @@
         return;
     pendingRequest_ = 0;
     send(session_->complete(std::move(message.answer)));
-    serveNext();
+    if (closeWhenAnswered_)
+        close();
+    else
+        serveNext();
 }
 
 caf::actor SessionActor::groupOf(const std::string &pool) const
--- a/src/gateway/sessionactor.h
+++ b/src/gateway/sessionactor.h
@@ -69,6 +69,7 @@
     RequestNumber pendingRequest_ = 0; ///< Request that awaits StatementFinished; 0: none.
     caf::actor group_;                 ///< Group of the last request and of the open transaction.
     bool closeWhenIdle_ = false;       ///< CloseIdleSessions was received.
+    bool closeWhenAnswered_ = false;   ///< CloseAllSessions was received.
     bool closed_ = false;
 };
 
