--- a/src/core/connectionbudget.cpp
+++ b/src/core/connectionbudget.cpp
@@ -6,6 +6,7 @@
 
 ConnectionBudget::ConnectionBudget(const ConnectionBudgetSettings &settings)
     : settings_(settings)
+    , random_(static_cast<std::minstd_rand::result_type>(settings.randomSeed))
 {
 }
 
@@ -38,6 +39,8 @@
 
 void ConnectionBudget::opened(ConnectionId id, TimePoint now)
 {
+    if (const auto found = failures_.find(serverOf(id)); found != failures_.end())
+        failures_.erase(found);
     released(id, now);
 }
 
@@ -62,11 +65,25 @@
     const auto found = connections_.find(id);
     if (found == connections_.end())
         return;
-    if (failedToOpen)
-        retryAt_[found->second.server] = now + settings_.openFailureDelay;
+    if (failedToOpen) {
+        auto &failures = failures_[found->second.server];
+        failures.retryAt = now + delayAfter(++failures.count);
+    }
     connections_.erase(found);
 }
 
+Duration ConnectionBudget::delayAfter(unsigned failures)
+{
+    const auto base = settings_.openFailureDelay;
+    if (settings_.longestOpenFailureDelay <= base)
+        return base;
+    constexpr unsigned maxDoublings = 10;
+    const auto grown = base * (1U << std::min(failures - 1, maxDoublings));
+    const auto delay = std::min<Duration>(grown, settings_.longestOpenFailureDelay);
+    return Duration(
+        std::uniform_int_distribution<Duration::rep>(delay.count() / 2, delay.count())(random_));
+}
+
 bool ConnectionBudget::take(ConnectionId id)
 {
     const auto found = connections_.find(id);
@@ -84,8 +101,8 @@
 
 TimePoint ConnectionBudget::retryAt(std::string_view server) const
 {
-    const auto found = retryAt_.find(server);
-    return found == retryAt_.end() ? TimePoint::min() : found->second;
+    const auto found = failures_.find(server);
+    return found == failures_.end() ? TimePoint::min() : found->second.retryAt;
 }
 
 std::size_t ConnectionBudget::busy() const
--- a/src/core/connectionbudget.h
+++ b/src/core/connectionbudget.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -21,6 +22,12 @@
     std::size_t limit = 16;       ///< Over all servers, connections being closed included.
     std::size_t openingLimit = 2; ///< Being opened at once; opening costs the servers 12 to 30 ms.
     Duration openFailureDelay{std::chrono::milliseconds(200)}; ///< Before the next try on a server.
+    /// Bound on that delay, which doubles with each failure in a row; at most openFailureDelay: the
+    /// delay stays the same.
+    Duration longestOpenFailureDelay{0};
+    /// Determines the part by which a growing delay is shortened, so that proxies which were
+    /// refused together don't try again together.
+    std::uint64_t randomSeed = 0;
 };
 
 /// What to do for a request that needs a connection to a server.
@@ -80,6 +87,7 @@
     std::size_t busyOn(std::string_view server) const;
     std::size_t limit() const { return settings_.limit; }
     void setLimit(std::size_t limit) { settings_.limit = limit; }
+    void setLongestOpenFailureDelay(Duration delay) { settings_.longestOpenFailureDelay = delay; }
 
 private:
     enum class State { Opening, Idle, Busy, Closing };
@@ -90,12 +98,21 @@
         TimePoint since;
     };
 
+    /// Failures in a row to open a connection to one server.
+    struct OpenFailures
+    {
+        unsigned count = 0;
+        TimePoint retryAt;
+    };
+
     std::size_t count(State state) const;
     std::optional<ConnectionId> longestIdle() const;
+    Duration delayAfter(unsigned failures);
 
     ConnectionBudgetSettings settings_;
     std::map<ConnectionId, Connection> connections_;
-    std::map<std::string, TimePoint, std::less<>> retryAt_;
+    std::map<std::string, OpenFailures, std::less<>> failures_;
+    std::minstd_rand random_;
     ConnectionId nextId_ = 1;
 };
 
--- a/src/core/directory.cpp
+++ b/src/core/directory.cpp
@@ -39,11 +39,12 @@
         found->second.listed = true;
 }
 
-bool Directory::proxySeen(std::string_view name)
+bool Directory::proxySeen(const FleetMember &proxy)
 {
-    const auto [proxy, added] = proxies_.try_emplace(std::string(name));
-    proxy->second = {true, true, std::nullopt};
-    return added;
+    const auto [entry, added] = proxies_.try_emplace(proxy.vm);
+    const bool changed = added || entry->second.value != proxy;
+    entry->second = {proxy, true, std::nullopt};
+    return changed;
 }
 
 bool Directory::proxyGone(std::string_view name, TimePoint now)
@@ -112,6 +113,24 @@
     return names;
 }
 
+WitnessRole Directory::witnessRole(std::string_view service, std::string_view vm) const
+{
+    const auto names = witnesses(service);
+    if (names.empty())
+        return {};
+    const auto found = std::find(names.begin(), names.end(), vm);
+    return {names.size(), found != names.end(), static_cast<std::size_t>(found - names.begin())};
+}
+
+std::vector<FleetMember> Directory::proxies() const
+{
+    std::vector<FleetMember> list;
+    list.reserve(proxies_.size());
+    for (const auto &[name, entry] : proxies_)
+        list.push_back(entry.value);
+    return list;
+}
+
 std::set<std::string, std::less<>> Directory::services() const
 {
     std::set<std::string, std::less<>> services;
--- a/src/core/directory.h
+++ b/src/core/directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/exchange/fleetmember.h"
 #include "core/position.h"
 #include "core/serverregistration.h"
 #include "core/tables.h"
@@ -40,6 +41,15 @@
     bool operator==(const PromotionRecord &) const = default;
 };
 
+/// Part of a proxy in deciding whether the primary of a group must be replaced.
+struct WitnessRole
+{
+    std::size_t witnesses = 1; ///< Number of proxies whose view of the primary counts.
+    bool witness = true;       ///< Whether the proxy is one of them.
+    /// Place of the proxy among the witnesses, counted from 0; \c witnesses if it is none.
+    std::size_t rank = 0;
+};
+
 /// Settings of a Directory.
 struct DirectorySettings
 {
@@ -71,8 +81,8 @@
     /// The server's entry has disappeared from the store. Returns whether it was removed here; if
     /// not, it was unknown or is kept because of an outage of the store.
     bool serverGone(std::string_view id, TimePoint now);
-    /// Adds or updates the entry of a proxy. Returns whether the proxy is new.
-    bool proxySeen(std::string_view name);
+    /// Adds or updates the entry of a proxy. Returns whether it is new or changed.
+    bool proxySeen(const FleetMember &proxy);
     /// The server's entry can't be decoded. What its last valid entry said is kept until the entry
     /// is valid again or disappears, since the server itself has not said that it leaves.
     void serverInvalid(std::string_view id);
@@ -93,6 +103,9 @@
     /// all proxies of a large fleet reported their view, the cost for the store would grow with the
     /// square of their number.
     std::vector<std::string_view> witnesses(std::string_view service) const;
+    /// The part of the proxy \a vm for the primary of \a service. While no proxy of the fleet is
+    /// known, it is the only witness.
+    WitnessRole witnessRole(std::string_view service, std::string_view vm) const;
     /// The services that have at least one server.
     std::set<std::string, std::less<>> services() const;
 
@@ -115,6 +128,7 @@
     const std::optional<OperatorConfiguration> &configuration() const { return configuration_; }
     std::vector<ServerRegistration> servers() const;
     std::size_t proxyCount() const { return proxies_.size(); }
+    std::vector<FleetMember> proxies() const;
     /// The last promotion of each service.
     std::vector<PromotionRecord> promotions() const;
     /// Number of servers whose entry is missing in the store but still kept here.
@@ -143,7 +157,7 @@
     DirectorySettings settings_;
     std::optional<OperatorConfiguration> configuration_;
     Entries<ServerRegistration> servers_;
-    Entries<bool> proxies_;
+    Entries<FleetMember> proxies_;
     std::map<std::string, PromotionRecord, std::less<>> promotions_;
     /// Suspected server by service and proxy.
     std::map<std::string, std::map<std::string, std::string, std::less<>>, std::less<>> suspicions_;
--- a/src/core/groupport.h
+++ b/src/core/groupport.h
@@ -56,6 +56,15 @@
     virtual void requestRetried(const GroupRequest &request, std::string_view server,
                                 std::optional<AnswerCode> code) = 0;
 
+    /// Reports, for logs, that \a server refused a connection with \a code. The next attempt
+    /// follows after \a retryDelay, if there is still need of it.
+    virtual void connectionRefused(std::string_view server, AnswerCode code,
+                                   Duration retryDelay) = 0;
+
+    /// Passes on to the other proxies that the primary's log ended at \a position when it answered
+    /// a command sent at \a sentAt.
+    virtual void shareWatermark(Position position, TimePoint sentAt) = 0;
+
     /// Tells the other proxies whether this proxy suspects the primary, \a server, of being unable
     /// to serve. An empty \a server stands for a group without a known primary.
     virtual void reportSuspicion(std::string_view server, bool suspected) = 0;
--- a/src/core/groupscheduler.cpp
+++ b/src/core/groupscheduler.cpp
@@ -30,6 +30,7 @@
 GroupScheduler::GroupScheduler(GroupSchedulerSettings settings, GroupPort &port)
     : settings_(std::move(settings))
     , port_(port)
+    , sharing_(settings_.watermarks)
     , planner_(settings_.failover)
 {
 }
@@ -99,7 +100,7 @@
         return {*primary()};
     std::vector<std::pair<Duration, ServerNumber>> ranked;
     for (const auto &[number, link] : servers_) {
-        if (!usable(link, now) || link.openConnections() == 0)
+        if (!usable(link, now) || !reachable(link, now))
             continue;
         const bool behind = link.laggingUntil > now && link.position < *pending.requiredPosition;
         if (behind || link.silence(now) > settings_.failover.silenceLimit / 2)
@@ -121,13 +122,35 @@
     const double waiting = static_cast<double>(link.policy->queued()) / connections;
     const double factor = (1 + waiting) * (link.primary ? primaryCostFactor : 1);
     const auto response = static_cast<double>(link.response.expected(now).count());
-    return Duration(static_cast<Duration::rep>(response * factor));
+    const auto opening = link.openConnections() == 0 ? link.openingTime : Duration::zero();
+    return Duration(static_cast<Duration::rep>(response * factor)) + opening;
+}
+
+/// The earliest time at which a request could be sent to a server.
+TimePoint GroupScheduler::earliestStart(const ServerLink &link, TimePoint now) const
+{
+    if (link.openConnections() > 0)
+        return now;
+    return std::max(now, link.budget.retryAt(link.registration.id));
+}
+
+/// The earliest time at which a request could be sent to any server.
+TimePoint GroupScheduler::earliestStart(TimePoint now) const
+{
+    auto earliest = TimePoint::max();
+    for (const auto &[number, link] : servers_) {
+        if (usable(link, now))
+            earliest = std::min(earliest, earliestStart(link, now));
+    }
+    return earliest;
 }
 
 bool GroupScheduler::enqueue(Pending &pending, ServerNumber number, TimePoint now)
 {
     auto &link = servers_.at(number);
     const auto &request = pending.request;
+    if (earliestStart(link, now) >= request.deadline - settings_.refusalMargin)
+        return false;
     WorkItem item;
     item.id = request.number;
     item.route = request.route;
@@ -143,7 +166,7 @@
     auto capacity = link.capacity();
     capacity.total = std::max<std::uint32_t>(capacity.total, 1);
     if (mayBurst(link, now))
-        capacity.total += connectionBurst_ - link.connections.size();
+        capacity.total += allotment_.burst - link.connections.size();
     if (link.policy->submit(item, capacity, now))
         return false;
     pending.stage = Pending::Stage::Queued;
@@ -157,7 +180,9 @@
         pending.holdUntil =
             std::min(pending.holdUntil, *primaryUnavailableSince_ + settings_.failoverWaitLimit);
     }
-    if (now >= pending.holdUntil) {
+    const bool tooLate =
+        !servers_.empty() && !keepsConnections() && earliestStart(now) >= pending.holdUntil;
+    if (now >= pending.holdUntil || tooLate) {
         refuse(pending, "no server could be reached in time");
         return;
     }
@@ -467,7 +492,7 @@
 bool GroupScheduler::canServe(TimePoint now) const
 {
     return std::any_of(servers_.begin(), servers_.end(), [&](const auto &entry) {
-        return usable(entry.second, now) && entry.second.openConnections() > 0;
+        return usable(entry.second, now) && reachable(entry.second, now);
     });
 }
 
--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -4,6 +4,7 @@
 #include "core/groupport.h"
 #include "core/promotionplanner.h"
 #include "core/serverlink.h"
+#include "core/staleness/watermarksharing.h"
 #include "core/watermarks.h"
 
 #include <functional>
@@ -22,9 +23,9 @@
 {
     std::string service;
     FailoverSettings failover;
-    /// Interval between probes of an idle primary. The positions in its replies become the
-    /// watermarks that bound the staleness of reads at replicas.
-    Duration primaryProbeInterval{std::chrono::milliseconds(400)};
+    /// Times of the probes of an idle primary. The positions in its replies become the watermarks
+    /// that bound the staleness of reads at replicas.
+    WatermarkSharingSettings watermarks;
     /// Interval between status requests to an idle replica.
     Duration replicaProbeInterval{std::chrono::milliseconds(2000)};
     /// Interval between status requests to each server while the primary is unavailable. A
@@ -46,6 +47,8 @@
     Duration refusalMargin{std::chrono::milliseconds(30)};
     /// A transaction that runs no statement for this long is rolled back; 0: never.
     Duration transactionIdleLimit{std::chrono::milliseconds(3000)};
+    /// Spreads the attempts of several proxies to open connections; differs between proxies.
+    std::uint64_t randomSeed = 0;
     /// Creates the admission policy that holds the request queue of one server.
     std::function<std::unique_ptr<AdmissionPolicy>()> makePolicy;
 };
@@ -61,6 +64,9 @@
     std::uint64_t promotionsOrdered = 0;
     std::uint64_t connectionsOpened = 0;
     std::uint64_t connectionsLost = 0;
+    std::uint64_t connectionsRefused = 0; ///< Openings that a server refused.
+    std::uint64_t watermarksHeard = 0;    ///< Watermarks that other proxies have passed on.
+    std::uint64_t watermarksShared = 0;   ///< Watermarks passed on to other proxies.
 };
 
 /// Runs clients' statements on the backend servers of one group. It chooses the server, keeps each
@@ -77,14 +83,10 @@
     /// Replaces the list of the group's servers with \a servers.
     void setServers(std::span<const ServerRegistration> servers, TimePoint now);
 
-    /// Sets the number of connections that this proxy may hold to each server.
-    void setConnectionShare(std::size_t share, TimePoint now);
+    /// Sets how many connections this proxy may hold to each server, and for how long.
+    void setConnections(const ConnectionAllotment &allotment, TimePoint now);
 
-    std::size_t connectionShare() const { return connectionShare_; }
-
-    /// Sets the number of connections that this proxy may temporarily hold to each server, counting
-    /// those of its share, while requests wait, the share is in use and the server accepts more.
-    void setConnectionBurst(std::size_t limit) { connectionBurst_ = limit; }
+    const ConnectionAllotment &connections() const { return allotment_; }
 
     /// Sets the number of replicas that must have received a commit before it is acknowledged.
     void setConfirmReplicas(std::uint32_t count);
@@ -112,9 +114,14 @@
     /// Reports that the promotion of \a server, ordered by this proxy, can't be carried out.
     void promotionFailed(std::string_view server, TimePoint now);
 
-    /// Sets whether this proxy is a witness, whose view of the primary counts. Only witnesses
-    /// report suspicions and order promotions.
-    void setWitness(bool witness) { witness_ = witness; }
+    /// Sets whether this proxy is a witness, whose view of the primary counts, and its \a rank
+    /// among those that ask the primary for its position. Only witnesses report suspicions and
+    /// order promotions. They stay connected to all servers.
+    void setWitness(bool witness, std::size_t rank);
+
+    /// Another proxy has passed on that the primary's log ended at \a position when it answered a
+    /// command sent at \a sentAt or later.
+    void watermarkHeard(Position position, TimePoint sentAt, TimePoint now);
 
     /// Sets the primaries that the other witnesses suspect of being unable to serve, with one entry
     /// for each suspecting witness, and the number of \a witnesses, including this proxy if it is
@@ -128,7 +135,8 @@
     /// Returns the time at which tick() must be called if nothing else happens.
     TimePoint nextDue(TimePoint now) const;
 
-    /// Returns whether some server may get requests and has an open connection.
+    /// Returns whether some server may get requests and has an open connection, or can be expected
+    /// to accept one.
     bool canServe(TimePoint now) const;
 
     /// Returns why the primary must be replaced; empty if it need not be.
@@ -177,6 +185,8 @@
     void dispatch(Pending &pending, TimePoint now);
     std::vector<ServerNumber> candidates(const Pending &pending, TimePoint now) const;
     bool enqueue(Pending &pending, ServerNumber number, TimePoint now);
+    TimePoint earliestStart(const ServerLink &link, TimePoint now) const;
+    TimePoint earliestStart(TimePoint now) const;
     void awaitServer(Pending &pending, TimePoint now);
     void dispatchWaiting(TimePoint now);
     Duration expectedResponse(const ServerLink &link, TimePoint now) const;
@@ -196,6 +206,7 @@
 
     // Replies
     void handleOpening(ServerConnectionKey key, const ServerReply &reply, TimePoint now);
+    void handleRefusal(ServerNumber number, AnswerCode code, TimePoint now);
     void handleBegin(ServerConnectionKey key, const ServerReply &reply, TimePoint now);
     void handleStatement(ServerConnectionKey key, ServerReply reply, TimePoint sentAt,
                          TimePoint now);
@@ -210,6 +221,7 @@
     bool mayRetry(const Pending &pending, AnswerCode code, TimePoint now) const;
     void recordRetry(const Pending &pending, std::optional<AnswerCode> code);
     void clearPrimary(ServerLink &link, TimePoint now);
+    void recordWatermark(Position position, TimePoint sentAt);
     void finish(Pending &pending, GroupAnswer answer);
     void finishWithError(Pending &pending, AnswerCode code, std::string text);
     /// Ends \a pending in its server's admission policy, whether it is queued or running.
@@ -225,6 +237,11 @@
     ServerConnection *find(ServerConnectionKey key);
     std::optional<ServerNumber> primary() const;
     bool usable(const ServerLink &link, TimePoint now) const;
+    /// Whether this proxy keeps a connection to each server even without requests.
+    bool keepsConnections() const { return allotment_.standing || witness_; }
+    /// Whether a request can be sent to a server, on an open connection or on one that the server
+    /// can be expected to accept.
+    bool reachable(const ServerLink &link, TimePoint now) const;
     /// Whether a server is kept connected and asked for reports, even if it may get no requests.
     bool monitored(const ServerLink &link, TimePoint now) const;
     Term newestTerm() const;
@@ -262,8 +279,7 @@
 
     GroupSchedulerSettings settings_;
     GroupPort &port_;
-    std::size_t connectionShare_ = 1;
-    std::size_t connectionBurst_ = 1;
+    ConnectionAllotment allotment_;
     std::map<ServerNumber, ServerLink> servers_;
     ServerNumber nextServer_ = 1;
     Requests requests_;
@@ -271,6 +287,7 @@
     std::vector<RequestNumber>
         awaitingServer_; ///< Waiting for a known primary or a connected server.
     Watermarks watermarks_;
+    WatermarkSharing sharing_;
     PromotionPlanner planner_;
     std::uint32_t confirmReplicas_ = 0;
     bool pauseWanted_ = false;                     ///< Replicas must pause before a promotion.
--- a/src/core/groupscheduler_replies.cpp
+++ b/src/core/groupscheduler_replies.cpp
@@ -63,7 +63,7 @@
         if (reply.error == AnswerCode::ReadOnly)
             clearPrimary(*link, now);
         else if (!reply.error && reply.position)
-            watermarks_.record(*reply.position, expected.sentAt);
+            recordWatermark(*reply.position, expected.sentAt);
         break;
     case ExpectedReply::Report:
         handleReport(*link, reply, now);
@@ -80,9 +80,11 @@
         if (reply.error == AnswerCode::TooManyClients)
             link.burstRefusedUntil = now + burstRetryDelay;
         abortConnection(key, "the server refused the connection", now);
+        handleRefusal(key.server, *reply.error, now);
         return;
     }
     auto &connection = *find(key);
+    link.openingTime = now - connection.lastUsed;
     connection.open = true;
     connection.lastUsed = now;
     if (reply.position)
@@ -92,6 +94,20 @@
     startQueued(key.server, now);
 }
 
+/// Requests that wait for a server without any connection go elsewhere, or are refused if it can't
+/// accept one in time.
+void GroupScheduler::handleRefusal(ServerNumber number, AnswerCode code, TimePoint now)
+{
+    ++counters_.connectionsRefused;
+    const auto *link = find(number);
+    if (link == nullptr)
+        return;
+    const auto &id = link->registration.id;
+    port_.connectionRefused(id, code, link->budget.retryAt(id) - now);
+    if (link->connections.empty())
+        requeueFrom(number, now);
+}
+
 void GroupScheduler::handleReport(ServerLink &link, const ServerReply &reply, TimePoint now)
 {
     if (!reply.report)
@@ -173,7 +189,7 @@
     const bool fromPrimary = answer.committed || (connection.provesPrimary && !commit);
     if (fromPrimary && reply.position) {
         setPrimary(key.server, reply.position->term, now);
-        watermarks_.record(*reply.position, pending.sentAt);
+        recordWatermark(*reply.position, pending.sentAt);
     }
     const bool ended = request.scope == RequestScope::Single || commit;
     if (!ended && reply.state != TransactionState::Open) {
--- a/src/core/groupscheduler_servers.cpp
+++ b/src/core/groupscheduler_servers.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/// Idle time after which a connection beyond the first is closed, so that other proxies, and the
-/// successor of a proxy that lost power, can open theirs.
-constexpr Duration idleConnectionLimit = std::chrono::milliseconds(1500);
-
 /// Idle time after which a connection beyond this proxy's share is closed, because other proxies
 /// may need it more.
 constexpr Duration idleBurstLimit = std::chrono::milliseconds(300);
@@ -40,6 +36,39 @@
     return link.primary && now - *link.leavingSince < leavingPrimaryLimit;
 }
 
+bool GroupScheduler::reachable(const ServerLink &link, TimePoint now) const
+{
+    if (link.openConnections() > 0)
+        return true;
+    return !keepsConnections() && !link.failing()
+           && now >= link.budget.retryAt(link.registration.id);
+}
+
+void GroupScheduler::setWitness(bool witness, std::size_t rank)
+{
+    witness_ = witness;
+    sharing_.setRank(rank);
+}
+
+void GroupScheduler::watermarkHeard(Position position, TimePoint sentAt, TimePoint now)
+{
+    ++counters_.watermarksHeard;
+    sharing_.heard(sentAt);
+    watermarks_.record(position, sentAt);
+    if (!awaitingServer_.empty())
+        dispatchWaiting(now);
+}
+
+/// Records a position that the primary has told this proxy.
+void GroupScheduler::recordWatermark(Position position, TimePoint sentAt)
+{
+    watermarks_.record(position, sentAt);
+    if (!sharing_.takeForSharing(sentAt))
+        return;
+    ++counters_.watermarksShared;
+    port_.shareWatermark(position, sentAt);
+}
+
 bool GroupScheduler::monitored(const ServerLink &link, TimePoint now) const
 {
     // A leaving replica receives and confirms commits until it stops.
@@ -84,9 +113,10 @@
             continue;
         }
         const auto number = nextServer_++;
-        auto &link =
-            servers_.try_emplace(number, registration, settings_.makePolicy(), connectionShare_)
-                .first->second;
+        auto &link = servers_
+                         .try_emplace(number, registration, settings_.makePolicy(), allotment_,
+                                      settings_.randomSeed + number)
+                         .first->second;
         link.primary = false;
         if (registration.leaving)
             link.leavingSince = now;
@@ -155,11 +185,13 @@
     }
 }
 
-void GroupScheduler::setConnectionShare(std::size_t share, TimePoint now)
+void GroupScheduler::setConnections(const ConnectionAllotment &allotment, TimePoint now)
 {
-    connectionShare_ = std::max<std::size_t>(share, 1);
-    for (auto &[number, link] : servers_)
-        link.budget.setLimit(connectionShare_);
+    allotment_ = allotment;
+    for (auto &[number, link] : servers_) {
+        link.budget.setLimit(allotment_.share);
+        link.budget.setLongestOpenFailureDelay(allotment_.longestRetryDelay);
+    }
     tick(now);
 }
 
@@ -168,15 +200,18 @@
     auto *link = find(number);
     if (link == nullptr)
         return;
-    std::size_t limit = std::max(connectionShare_, connectionBurst_);
+    std::size_t limit = std::max(allotment_.share, allotment_.burst);
     if (!usable(*link, now))
         limit = monitored(*link, now) ? 1 : 0;
+    const std::size_t kept = keepsConnections() ? 1 : 0;
     std::vector<ConnectionId> closed;
     for (const auto &[id, connection] : link->connections) {
         const auto remaining = link->connections.size() - closed.size();
         const bool surplus = remaining > limit;
-        const auto idleLimit = remaining > connectionShare_ ? idleBurstLimit : idleConnectionLimit;
-        if (!surplus && (remaining <= 1 || now - connection.lastUsed < idleLimit))
+        const auto idleLimit = remaining > allotment_.share
+                                   ? std::min(idleBurstLimit, allotment_.idleLimit)
+                                   : allotment_.idleLimit;
+        if (!surplus && (remaining <= kept || now - connection.lastUsed < idleLimit))
             continue;
         if (connection.idle() && link->budget.take(id))
             closed.push_back(id);
@@ -192,7 +227,7 @@
 
 bool GroupScheduler::mayBurst(const ServerLink &link, TimePoint now) const
 {
-    return connectionBurst_ > link.connections.size() && now >= link.burstRefusedUntil;
+    return allotment_.burst > link.connections.size() && now >= link.burstRefusedUntil;
 }
 
 std::size_t GroupScheduler::connectionLimit(const ServerLink &link, TimePoint now) const
@@ -200,7 +235,7 @@
     // With at most one request waiting for each connection that holds no transaction, the requests
     // are served before a new connection could be opened.
     const bool needed = link.policy->queued() > link.capacity().total;
-    return needed && mayBurst(link, now) ? connectionBurst_ : connectionShare_;
+    return needed && mayBurst(link, now) ? allotment_.burst : allotment_.share;
 }
 
 void GroupScheduler::openConnection(ServerNumber number, ConnectionId id, TimePoint now)
@@ -231,7 +266,11 @@
         link->connectionFailed(now);
         abortConnection(key, "no answer to a command of the proxy", now);
     }
-    if (!link->connections.empty() || !monitored(*link, now))
+    // A server that has failed, or still owes a reply, is tried again without a request: it gets no
+    // requests until it answers.
+    const bool wanted =
+        keepsConnections() || link->failing() || link->silence(now) > Duration::zero();
+    if (!wanted || !link->connections.empty() || !monitored(*link, now))
         return;
     const auto step = link->budget.acquire(link->registration.id, now);
     if (const auto *opening = std::get_if<OpenConnection>(&step))
@@ -293,9 +332,11 @@
     // Replies were due on a connection that has been closed, so the server is asked on another one.
     const bool unanswered = link->silence(now) > settings_.reportInterval && !link->awaitsReply();
     if (!link->primary) {
-        if (unanswered
-            || now - std::max(link->reportRequestedAt, link->lastReplyAt())
-                   >= settings_.replicaProbeInterval) {
+        // Only a proxy that may choose a new primary needs the reports of idle replicas.
+        const bool reportDue = keepsConnections()
+                               && now - std::max(link->reportRequestedAt, link->lastReplyAt())
+                                      >= settings_.replicaProbeInterval;
+        if (unanswered || reportDue) {
             const ServerCommand command{CommandKind::Status, {}};
             const auto kind = ExpectedReply::Report;
             if (sendOnIdleConnection(number, {&command, 1}, {&kind, 1}, now))
@@ -305,8 +346,7 @@
     }
     // Only the primary accepts a begin that isn't read-only.
     if (!unanswered
-        && now - std::max(watermarks_.newestAt(), link->reportRequestedAt)
-               < settings_.primaryProbeInterval)
+        && !sharing_.probeDue(std::max(watermarks_.newestAt(), link->reportRequestedAt), now))
         return;
     const std::array<ServerCommand, 2> commands{ServerCommand{CommandKind::Begin, {}},
                                                 ServerCommand{CommandKind::Rollback, {}}};
--- a/src/core/serverlink.cpp
+++ b/src/core/serverlink.cpp
@@ -16,10 +16,11 @@
 } // namespace
 
 ServerLink::ServerLink(ServerRegistration entry, std::unique_ptr<AdmissionPolicy> queue,
-                       std::size_t connectionLimit)
+                       const ConnectionAllotment &allotment, std::uint64_t randomSeed)
     : registration(std::move(entry))
     , primary(registration.primary)
-    , budget(ConnectionBudgetSettings{connectionLimit, openingLimit, reopenDelay})
+    , budget(ConnectionBudgetSettings{allotment.share, openingLimit, reopenDelay,
+                                      allotment.longestRetryDelay, randomSeed})
     , policy(std::move(queue))
 {
 }
--- a/src/core/serverlink.h
+++ b/src/core/serverlink.h
@@ -3,6 +3,7 @@
 #include "core/admissionpolicy.h"
 #include "core/connectionbudget.h"
 #include "core/connectioncontent.h"
+#include "core/connections/connectionallotment.h"
 #include "core/grouprequest.h"
 #include "core/responseestimate.h"
 #include "core/serverregistration.h"
@@ -57,8 +58,9 @@
 class ServerLink
 {
 public:
+    /// \a randomSeed spreads the attempts of several proxies to open connections.
     ServerLink(ServerRegistration entry, std::unique_ptr<AdmissionPolicy> queue,
-               std::size_t connectionLimit);
+               const ConnectionAllotment &allotment, std::uint64_t randomSeed);
 
     ServerRegistration registration;
     bool registered = true; ///< Whether the server is in the current list of servers.
@@ -79,6 +81,7 @@
     std::map<ConnectionId, ServerConnection> connections;
     std::unique_ptr<AdmissionPolicy> policy;
     ResponseEstimate response;
+    Duration openingTime{0}; ///< Time that the last opening of a connection took.
 
     /// Records that commands were sent, whose replies are due from now on.
     void commandsSent(TimePoint now);
@@ -96,6 +99,9 @@
     /// Returns the time for which replies have been due without any arriving; 0 if none is due.
     Duration silence(TimePoint now) const;
 
+    /// Returns whether a connection has failed since the last reply.
+    bool failing() const { return failingSince_.has_value(); }
+
     /// Returns the time since the first connection failure after the last reply; 0 if there was
     /// none or a connection is open.
     Duration refusedFor(TimePoint now) const;
--- a/src/gateway/directoryactor.cpp
+++ b/src/gateway/directoryactor.cpp
@@ -219,8 +219,10 @@
                                  server.port, server.primary, server.leaving, item.modRevision);
                 }
             } else if (key.starts_with(proxiesPrefix)) {
+                // Any entry shows that the proxy lives, even one of a version without an address.
+                const auto vm = key.substr(proxiesPrefix.size());
                 directoryChanged_ =
-                    directory_.proxySeen(key.substr(proxiesPrefix.size())) || directoryChanged_;
+                    directory_.proxySeen(decodeFleetEntry(vm, item.value)) || directoryChanged_;
             } else if (key.starts_with(suspicionsPrefix)) {
                 const auto [service, vm] = parseSuspicionKey(key);
                 directory_.suspicionSeen(service, vm, item.value);
@@ -263,7 +265,7 @@
         const auto vm = key.substr(proxiesPrefix.size());
         directoryChanged_ = directory_.proxyGone(vm, now) || directoryChanged_;
         // The store may lose the key although its lease is still valid.
-        if (vm == context_.vm && lease_ != 0 && !leaving_) {
+        if (vm == context_.self.vm && lease_ != 0 && !leaving_) {
             spdlog::warn("event=fleet_entry_lost lease={}", lease_);
             writeFleetEntry();
         }
@@ -294,8 +296,9 @@
 
 void DirectoryActor::writeFleetEntry()
 {
-    const auto key = std::string(proxiesPrefix) + context_.vm;
-    auto call = context_.protocols.store->write(key, "{}", lease_, std::nullopt);
+    const auto key = std::string(proxiesPrefix) + context_.self.vm;
+    auto call =
+        context_.protocols.store->write(key, encodeFleetEntry(context_.self), lease_, std::nullopt);
     call.timeout = context_.callTimeout;
     this->call(
         context_.storeCaller, std::move(call),
@@ -399,7 +402,10 @@
             std::make_shared<const OperatorConfiguration>(*directory_.configuration());
     message.servers = std::make_shared<const std::vector<ServerRegistration>>(directory_.servers());
     message.proxies = std::max<std::size_t>(directory_.proxyCount(), 1);
+    for (const auto &service : directory_.services())
+        message.roles.emplace(service, directory_.witnessRole(service, context_.self.vm));
     self_->send(context_.groups, std::move(message));
+    self_->send(context_.exchange, FleetChanged{directory_.proxies()});
     // Repeated for groups that have just started and haven't received earlier promotions.
     for (auto &record : directory_.promotions())
         self_->send(context_.groups, PromotionRecorded{std::move(record)});
@@ -411,19 +417,14 @@
 {
     SuspicionsChanged message;
     message.service = service;
-    message.servers = directory_.suspicions(service, context_.vm);
-    const auto witnesses = directory_.witnesses(service);
-    // While no proxy of the fleet is known, this proxy is the only witness.
-    message.witnesses = std::max<std::size_t>(witnesses.size(), 1);
-    message.witness =
-        witnesses.empty()
-        || std::find(witnesses.begin(), witnesses.end(), context_.vm) != witnesses.end();
+    message.servers = directory_.suspicions(service, context_.self.vm);
+    message.role = directory_.witnessRole(service, context_.self.vm);
     self_->send(context_.groups, std::move(message));
 }
 
 void DirectoryActor::reportSuspicion(const ReportSuspicion &message)
 {
-    const auto key = suspicionKey(message.service, context_.vm);
+    const auto key = suspicionKey(message.service, context_.self.vm);
     auto call = message.suspected
                     ? context_.protocols.store->write(key, message.server, lease_, std::nullopt)
                     : context_.protocols.store->remove(key);
--- a/src/gateway/directoryactor.h
+++ b/src/gateway/directoryactor.h
@@ -17,11 +17,12 @@
 /// Collaborators and settings of a DirectoryActor.
 struct DirectoryContext
 {
-    std::string vm; ///< Name of this proxy in the fleet.
+    FleetMember self; ///< This proxy, as its entry in the store describes it.
     GatewayProtocols protocols;
     caf::actor watchCaller; ///< HttpCaller for listings and watches.
     caf::actor storeCaller; ///< HttpCaller for all other calls to the store.
     caf::actor groups;      ///< Gets DirectoryChanged, SuspicionsChanged and PromotionRecorded.
+    caf::actor exchange;    ///< Gets FleetChanged.
     std::shared_ptr<const Clock> clock;
     /// Longest time that the store may hold a watch without changes. Shorter than the time in which
     /// a new configuration must be in force, so that a watch without changes ends first.
@@ -101,12 +102,12 @@
     std::uint64_t renewalNumber_ = 0;
     /// Services whose suspicions have changed since the last publication.
     std::set<std::string, std::less<>> changedSuspicions_;
-    TimePoint lastWatchAt_;          ///< Start of the last watch.
-    bool directoryChanged_ = false;  ///< Changed since the last publication.
-    bool expiryScheduled_ = false;   ///< An ExpireEntries message is scheduled.
-    bool leaving_ = false;           ///< The fleet has been left; no new lease is requested.
-    InvalidEntries invalidEntries_;  ///< Entries ignored because they could not be decoded.
-    std::uint64_t storeCalls_ = 0;   ///< Calls made to the store.
+    TimePoint lastWatchAt_;         ///< Start of the last watch.
+    bool directoryChanged_ = false; ///< Changed since the last publication.
+    bool expiryScheduled_ = false;  ///< An ExpireEntries message is scheduled.
+    bool leaving_ = false;          ///< The fleet has been left; no new lease is requested.
+    InvalidEntries invalidEntries_; ///< Entries ignored because they could not be decoded.
+    std::uint64_t storeCalls_ = 0; ///< Calls made to the store.
     TimePoint lastAnswerAt_;         ///< Time of the last successful answer of the store.
     TimePoint configurationTakenAt_; ///< Time when the configuration in force was adopted.
 };
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,7 +4,9 @@
 /// Public header of the gateway library: the proxy for clients that open one session on each
 /// connection. All encodings are behind the interfaces of protocols.h.
 
+#include "gateway/datagramsocket.h"
 #include "gateway/directoryactor.h"
+#include "gateway/exchangeactor.h"
 #include "gateway/gatewaynode.h"
 #include "gateway/gatewayservice.h"
 #include "gateway/gatewaytree.h"
--- a/src/gateway/gatewaytree.cpp
+++ b/src/gateway/gatewaytree.cpp
@@ -1,12 +1,15 @@
 #include "gateway/gatewaytree.h"
 
 #include "gateway/directoryactor.h"
+#include "gateway/exchangeactor.h"
 #include "gateway/groupsmanager.h"
 #include "gateway/httpcaller.h"
 #include "gateway/promotionactor.h"
 
 #include <caf/io/middleman.hpp>
 
+#include <random>
+
 namespace shallotwalk {
 
 namespace {
@@ -29,6 +32,7 @@
         , directory(system.spawn<Relay>("directory"))
         , promotions(system.spawn<Relay>("promotions"))
         , groups(system.spawn<Relay>("groups"))
+        , exchange(system.spawn<Relay>("exchange"))
         , sessions(system.spawn<Relay>("sessions"))
         , root(system.spawn<Relay>("root"))
     {
@@ -40,6 +44,7 @@
     caf::actor directory;
     caf::actor promotions;
     caf::actor groups;
+    caf::actor exchange;
     caf::actor sessions;
     caf::actor root;
 };
@@ -80,6 +85,7 @@
                         settings_.platform, clock_),
             promotions(),
             groups(),
+            exchange(),
             sessions(),
             directory(),
             httpListener("readiness", settings_.readiness, {settings_.readinessPath, {}, {}}),
@@ -107,15 +113,37 @@
     ChildSpecification groups() const
     {
         GroupsContext context;
+        context.vm = settings_.vm;
         context.protocols = protocols_;
         context.directory = relays_.directory;
         context.promotions = relays_.promotions;
+        context.exchange = relays_.exchange;
         context.sessions = relays_.sessions;
         context.node = node_;
         context.clock = clock_;
         return brokerChild("groups", relays_.groups, &GroupsManager::run, context);
     }
 
+    /// This proxy as its entry in the store describes it.
+    FleetMember self() const
+    {
+        return {settings_.vm, settings_.dataCentre, settings_.exchange.host,
+                settings_.exchange.port};
+    }
+
+    ChildSpecification exchange() const
+    {
+        ExchangeContext context;
+        context.self = self();
+        // The entropy of the system, because the clock may stand still between two starts.
+        std::random_device device;
+        context.incarnation = std::uint64_t{device()} << 32U | device();
+        context.directory = relays_.directory;
+        context.groups = relays_.groups;
+        context.clock = clock_;
+        return brokerChild("exchange", relays_.exchange, &ExchangeActor::run, context);
+    }
+
     ChildSpecification sessions() const
     {
         auto clients = settings_.clients;
@@ -134,11 +162,12 @@
     {
         DirectoryContext context;
         context.maxWatchWait = settings_.configurationApplyLimit * 2 / 3;
-        context.vm = settings_.vm;
+        context.self = self();
         context.protocols = protocols_;
         context.watchCaller = relays_.watchCaller;
         context.storeCaller = relays_.storeCaller;
         context.groups = relays_.groups;
+        context.exchange = relays_.exchange;
         context.clock = clock_;
         return brokerChild("directory", relays_.directory, &DirectoryActor::run, context);
     }
@@ -149,7 +178,8 @@
         auto context = std::make_shared<HttpConnectionContext>();
         context->service = std::make_shared<GatewayService>(
             paths, node_, relays_.root,
-            std::vector<caf::actor>{relays_.groups, relays_.sessions, relays_.directory});
+            std::vector<caf::actor>{relays_.groups, relays_.sessions, relays_.directory,
+                                    relays_.exchange});
         context->clock = clock_;
         const ListenerSettings listener{name, endpoint.host, endpoint.port,
                                         administrationConnectionLimit};
--- a/src/gateway/gatewaytree.h
+++ b/src/gateway/gatewaytree.h
@@ -21,6 +21,7 @@
     HttpEndpoint readiness; ///< Address on which the load balancer asks for readiness.
     std::string readinessPath;
     HttpEndpoint administration; ///< Address of metrics and state dumps; port 0: disabled.
+    HttpEndpoint exchange;       ///< UDP address for other proxies; port 0: disabled.
     HttpEndpoint store;
     HttpEndpoint platform; ///< Address that takes orders to promote servers.
     /// Time from the shutdown signal until the process is killed.
--- a/src/gateway/groupactor.cpp
+++ b/src/gateway/groupactor.cpp
@@ -68,8 +68,15 @@
             updateTimerAndReportChanges();
         },
         [this](const SuspicionsChanged &message) {
-            scheduler_->setWitness(message.witness);
-            scheduler_->setSuspicions(message.servers, message.witnesses, context_.clock->now());
+            scheduler_->setWitness(message.role.witness, message.role.rank);
+            scheduler_->setSuspicions(message.servers, message.role.witnesses,
+                                      context_.clock->now());
+            updateTimerAndReportChanges();
+        },
+        [this](const WatermarksHeard &message) {
+            const auto now = context_.clock->now();
+            for (const auto &watermark : message.watermarks)
+                scheduler_->watermarkHeard(watermark.position, watermark.sentAt, now);
             updateTimerAndReportChanges();
         },
         [this](const PromotionFailed &message) {
@@ -87,8 +94,8 @@
     const auto now = context_.clock->now();
     scheduler_->setConfirmReplicas(message.confirmReplicas);
     scheduler_->setTransactionIdleLimit(message.transactionIdleLimit);
-    scheduler_->setConnectionBurst(message.connectionBurst);
-    scheduler_->setConnectionShare(message.connectionShare, now);
+    scheduler_->setWitness(message.role.witness, message.role.rank);
+    scheduler_->setConnections(message.connections, now);
     scheduler_->setServers(message.servers, now);
     updateTimerAndReportChanges();
 }
@@ -260,6 +267,21 @@
                  milliseconds(context_.clock->now() - request.receivedAt));
 }
 
+void GroupActor::connectionRefused(std::string_view server, AnswerCode code, Duration retryDelay)
+{
+    spdlog::info("event=connection_refused service={} server={} outcome={} share={} standing={} "
+                 "retry_ms={}",
+                 logValue(context_.scheduler.service), logValue(server), toString(code),
+                 scheduler_->connections().share, scheduler_->connections().standing,
+                 milliseconds(retryDelay));
+}
+
+void GroupActor::shareWatermark(Position position, TimePoint sentAt)
+{
+    self_->send(context_.exchange,
+                WatermarkObserved{{context_.scheduler.service, position, sentAt}});
+}
+
 void GroupActor::reportSuspicion(std::string_view server, bool suspected)
 {
     spdlog::info("event=primary_suspicion service={} server={} suspected={} reason={}",
@@ -323,7 +345,16 @@
                      "Connections opened to backend servers.", counters.connectionsOpened, labels)
         + metricText("shallotwalk_server_connections_lost_total", "counter",
                      "Connections to backend servers that ended early.", counters.connectionsLost,
-                     labels);
+                     labels)
+        + metricText("shallotwalk_server_connections_refused_total", "counter",
+                     "Connections that backend servers refused.", counters.connectionsRefused,
+                     labels)
+        + metricText("shallotwalk_watermarks_heard_total", "counter",
+                     "Positions of the primary from other proxies.", counters.watermarksHeard,
+                     labels)
+        + metricText("shallotwalk_watermarks_shared_total", "counter",
+                     "Positions of the primary passed on to other proxies.",
+                     counters.watermarksShared, labels);
     for (const auto &[code, count] : counters.errors) {
         text += metricText("shallotwalk_statement_errors_total", "counter",
                            "Statements answered with an error.", count,
@@ -354,7 +385,7 @@
     std::size_t queued = 0;
     for (const auto &[number, link] : scheduler_->servers()) {
         open += link.openConnections();
-        limit += scheduler_->connectionShare();
+        limit += scheduler_->connections().share;
         queued += link.policy->queued();
     }
     const auto watermarkAge = context_.clock->now() - scheduler_->watermarks().newestAt();
--- a/src/gateway/groupactor.h
+++ b/src/gateway/groupactor.h
@@ -21,6 +21,7 @@
     GatewayProtocols protocols;
     caf::actor promotions; ///< Receives OrderPromotion.
     caf::actor directory;  ///< Receives ReportSuspicion.
+    caf::actor exchange;   ///< Receives WatermarkObserved.
     caf::actor manager;    ///< Receives ServingChanged.
     std::shared_ptr<const Clock> clock;
 };
@@ -66,6 +67,8 @@
     void answer(const GroupRequest &request, GroupAnswer answer) override;
     void requestRetried(const GroupRequest &request, std::string_view server,
                         std::optional<AnswerCode> code) override;
+    void connectionRefused(std::string_view server, AnswerCode code, Duration retryDelay) override;
+    void shareWatermark(Position position, TimePoint sentAt) override;
     void reportSuspicion(std::string_view server, bool suspected) override;
     void orderPromotion(const PromotionChoice &choice) override;
 
--- a/src/gateway/groupsmanager.cpp
+++ b/src/gateway/groupsmanager.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-/// Lower bound on the connections that a proxy may use for a short time at each server, for shares
-/// that are smaller. A transaction keeps its connection while its client pauses; with a single
-/// connection, it would block all other statements.
-constexpr std::size_t minConnectionBurst = 3;
-
 /// For the answer of one group to a request for metrics or state.
 constexpr auto groupResponseTimeout = std::chrono::milliseconds(900);
 
@@ -22,15 +17,6 @@
     std::string pool;
 };
 
-/// Connections to each server of \a pool that one of \a proxies may keep. A quarter of the limit
-/// stays free: a server counts the connections of a VM that lost power for some seconds more, and
-/// the VM that replaces it needs connections meanwhile.
-std::size_t connectionShare(const Pool &pool, std::size_t proxies)
-{
-    const std::size_t shared = pool.connectionLimit - pool.connectionLimit / 4;
-    return std::max<std::size_t>(shared / std::max<std::size_t>(proxies, 1), 1);
-}
-
 /// Combines the answers of all groups to one request. \c pending counts those still missing.
 template<class Answer>
 struct ResponseCollector
@@ -82,6 +68,7 @@
             if (found != groups_.end())
                 self_->send(found->second, message);
         },
+        [this](const WatermarksHeard &message) { forward(message); },
         [this](const PromotionFailed &message) {
             const auto found = groups_.find(message.choice.service);
             if (found != groups_.end())
@@ -135,10 +122,12 @@
 {
     GroupContext context;
     context.scheduler.service = pool;
+    context.scheduler.randomSeed = rendezvousWeight(pool, context_.vm);
     context.scheduler.makePolicy = [] { return std::make_unique<FairSharePolicy>(); };
     context.protocols = context_.protocols;
     context.promotions = context_.promotions;
     context.directory = context_.directory;
+    context.exchange = context_.exchange;
     context.manager = self_;
     context.clock = context_.clock;
     auto group = self_->system().middleman().spawn_broker(&GroupActor::run, context);
@@ -154,13 +143,27 @@
         if (server.service == pool)
             message.servers.push_back(server);
     }
-    message.connectionShare = connectionShare(pools_.at(pool), directory_.proxies);
-    message.connectionBurst = std::max(message.connectionShare, minConnectionBurst);
+    message.connections = allotConnections(pools_.at(pool).connectionLimit, directory_.proxies);
+    if (const auto role = directory_.roles.find(pool); role != directory_.roles.end())
+        message.role = role->second;
     message.confirmReplicas = pools_.at(pool).confirmReplicas;
     message.transactionIdleLimit = directory_.configuration->transactionIdleLimit;
     self_->send(groups_.at(pool), std::move(message));
 }
 
+/// Passes each group its own watermarks.
+void GroupsManager::forward(const WatermarksHeard &message)
+{
+    std::map<std::string_view, WatermarksHeard> byService;
+    for (const auto &watermark : message.watermarks)
+        byService[watermark.service].watermarks.push_back(watermark);
+    for (auto &[service, heard] : byService) {
+        const auto found = groups_.find(service);
+        if (found != groups_.end())
+            self_->send(found->second, std::move(heard));
+    }
+}
+
 void GroupsManager::handleDown(const caf::down_msg &message)
 {
     const auto found = std::find_if(groups_.begin(), groups_.end(), [&](const auto &entry) {
--- a/src/gateway/groupsmanager.h
+++ b/src/gateway/groupsmanager.h
@@ -12,9 +12,11 @@
 /// Collaborators of a GroupsManager.
 struct GroupsContext
 {
+    std::string vm; ///< Name of this proxy in the fleet.
     GatewayProtocols protocols;
     caf::actor directory;
     caf::actor promotions;
+    caf::actor exchange; ///< Receives WatermarkObserved.
     caf::actor sessions; ///< Receives RoutingChanged.
     caf::actor node;     ///< Receives ServingChanged.
     std::shared_ptr<const Clock> clock;
@@ -48,6 +50,7 @@
     void update(const DirectoryChanged &message);
     void startGroup(const std::string &pool);
     void configureGroup(const std::string &pool);
+    void forward(const WatermarksHeard &message);
     void handleDown(const caf::down_msg &message);
     void publishRouting();
     void reportServingChange(bool wasServing);
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -32,6 +32,26 @@
     std::shared_ptr<const OperatorConfiguration> configuration; ///< Null: none was read yet.
     std::shared_ptr<const std::vector<ServerRegistration>> servers;
     std::size_t proxies = 1; ///< Number of proxies in the fleet, this one included.
+    /// This proxy's part in watching the primary of each group.
+    std::map<std::string, WitnessRole, std::less<>> roles;
+};
+
+/// The proxies of the fleet, this one included.
+struct FleetChanged
+{
+    std::vector<FleetMember> members;
+};
+
+/// A primary has told this proxy the position of its log, for the other proxies.
+struct WatermarkObserved
+{
+    SharedWatermark watermark;
+};
+
+/// Positions of primaries that other proxies have passed on, with times of this proxy's clock.
+struct WatermarksHeard
+{
+    std::vector<SharedWatermark> watermarks;
 };
 
 /// Asks the directory to send a DirectoryChanged to its subscriber.
@@ -59,8 +79,7 @@
 {
     std::string service;
     std::vector<std::string> servers; ///< Suspected primaries, one entry for each such witness.
-    std::size_t witnesses = 1;        ///< Number of witnesses of the group.
-    bool witness = true;              ///< Whether this proxy is a witness.
+    WitnessRole role;                 ///< This proxy's part.
 };
 
 /// Asks the promotion actor to have a server promoted.
@@ -83,10 +102,8 @@
 struct GroupConfigured
 {
     std::vector<ServerRegistration> servers;
-    std::size_t connectionShare = 1; ///< Connections that this proxy may keep to each server.
-    /// Connections that this proxy may open to each server for a short time, if the server accepts
-    /// them.
-    std::size_t connectionBurst = 1;
+    ConnectionAllotment connections; ///< Connections to each server.
+    WitnessRole role;
     Duration transactionIdleLimit{0};
     /// Number of replicas that must receive a commit before it is answered.
     std::uint32_t confirmReplicas = 0;
@@ -161,6 +178,9 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::HttpCallRequest)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::HttpCallResult)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::DirectoryChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::FleetChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::WatermarkObserved)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::WatermarksHeard)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::PromotionRecorded)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::ReportSuspicion)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::SuspicionsChanged)
--- a/src/gateway/registryrecords.cpp
+++ b/src/gateway/registryrecords.cpp
@@ -1,5 +1,6 @@
 #include "gateway/registryrecords.h"
 
+#include "core/ipnumber.h"
 #include "wire/jsonreader.h"
 
 #include <boost/json/object.hpp>
@@ -30,6 +31,29 @@
     return {key.substr(0, slash), key.substr(slash + 1)};
 }
 
+std::string encodeFleetEntry(const FleetMember &member)
+{
+    return boost::json::serialize(boost::json::object{
+        {"dataCentre", member.dataCentre}, {"host", member.host}, {"port", member.port}});
+}
+
+FleetMember decodeFleetEntry(std::string_view vm, std::string_view value)
+{
+    FleetMember member;
+    member.vm = vm;
+    const auto parsing = parseJson(value);
+    if (parsing.error)
+        return member;
+    FleetMember described = member;
+    std::vector<JsonProblem> problems;
+    JsonReader reader(parsing.value, {}, problems, JsonStrictness::Foreign);
+    reader.requiredText("dataCentre", described.dataCentre);
+    reader.requiredText("host", described.host);
+    reader.require("port");
+    reader.wholeNumber("port", described.port, 1, std::numeric_limits<std::uint16_t>::max());
+    return problems.empty() && isIpNumber(described.host) ? described : member;
+}
+
 std::string encodePromotion(const PromotionRecord &record)
 {
     return boost::json::serialize(boost::json::object{{"service", record.service},
--- a/src/gateway/registryrecords.h
+++ b/src/gateway/registryrecords.h
@@ -14,6 +14,13 @@
 inline constexpr std::string_view promotionsPrefix = "shallotwalk/promotions/";
 inline constexpr std::string_view suspicionsPrefix = "shallotwalk/suspicions/";
 
+/// Encodes the entry of a proxy in the store as JSON, without its name. Thread-safe.
+std::string encodeFleetEntry(const FleetMember &member);
+
+/// Decodes the entry of the proxy \a vm. An entry that names no valid address, such as one of an
+/// older version, gives a member without an address. Thread-safe.
+FleetMember decodeFleetEntry(std::string_view vm, std::string_view value);
+
 /// Key under which proxy \a vm reports that it finds the primary of \a service unable to serve. The
 /// value is the primary's id. Thread-safe.
 std::string suspicionKey(std::string_view service, std::string_view vm);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -4,6 +4,7 @@
 /// Public header of the wire library: encodings and connections to outside systems.
 
 #include "wire/clock.h"
+#include "wire/exchangecodec.h"
 #include "wire/httpclient.h"
 #include "wire/httpmessage.h"
 #include "wire/httprequestparser.h"
--- a/tests/sessions/fakeport.h
+++ b/tests/sessions/fakeport.h
@@ -18,6 +18,12 @@
         std::string server;
         std::optional<AnswerCode> code;
     };
+    struct Refusal
+    {
+        std::string server;
+        AnswerCode code;
+        Duration retryDelay;
+    };
     struct Sent
     {
         ServerConnectionKey key;
@@ -44,6 +50,11 @@
     {
         retriedRequests.push_back({request.number, std::string(server), code});
     }
+    void connectionRefused(std::string_view server, AnswerCode code, Duration retryDelay) override
+    {
+        refusals.push_back({std::string(server), code, retryDelay});
+    }
+    void shareWatermark(Position position, TimePoint) override { shared.push_back(position); }
     void reportSuspicion(std::string_view server, bool suspected) override
     {
         suspicions.emplace_back(server, suspected);
@@ -57,6 +68,8 @@
     std::map<RequestNumber, GroupAnswer> answers;
     std::map<RequestNumber, int> answerCount;
     std::vector<Retry> retriedRequests;
+    std::vector<Refusal> refusals;
+    std::vector<Position> shared;
     std::vector<std::pair<std::string, bool>> suspicions;
     std::vector<PromotionChoice> promotions;
 };
--- a/tests/sessions/groupfixture.cpp
+++ b/tests/sessions/groupfixture.cpp
@@ -19,7 +19,9 @@
 GroupFixture::GroupFixture()
     : scheduler(settings(), port)
 {
-    scheduler.setConnectionShare(3, now);
+    ConnectionAllotment allotment;
+    allotment.share = 3;
+    scheduler.setConnections(allotment, now);
     const std::vector<ServerRegistration> servers{registration("p", true), registration("r1"),
                                                   registration("r2")};
     scheduler.setServers(servers, now);
--- a/tests/sessions/test_directory.cpp
+++ b/tests/sessions/test_directory.cpp
@@ -128,7 +128,7 @@
 BOOST_AUTO_TEST_CASE(few_proxies_of_a_large_fleet_are_witnesses)
 {
     for (int i = 0; i < 30; ++i)
-        directory.proxySeen("front-" + std::to_string(i));
+        directory.proxySeen({"front-" + std::to_string(i), {}, {}, 0});
     const auto witnesses = directory.witnesses("bookings");
     BOOST_TEST(witnesses.size() == 7U);
     BOOST_TEST((directory.witnesses("rounds") != witnesses));
--- a/tests/sessions/test_groupscheduler.cpp
+++ b/tests/sessions/test_groupscheduler.cpp
@@ -513,8 +513,9 @@
 // proxies share 46 connections to a server, each proxy's share is one.
 BOOST_AUTO_TEST_CASE(work_behind_a_transaction_gets_a_connection_beyond_the_share)
 {
-    scheduler.setConnectionBurst(3);
-    scheduler.setConnectionShare(1, now);
+    ConnectionAllotment allotment;
+    allotment.burst = 3;
+    scheduler.setConnections(allotment, now);
     auto begin = request(1, StatementKind::Write);
     begin.scope = RequestScope::BeginTransaction;
     scheduler.submit(begin, now);
@@ -540,8 +541,9 @@
 // Guards against proxies that keep others from a server by opening more than their share.
 BOOST_AUTO_TEST_CASE(refused_connection_ends_the_burst_for_a_while)
 {
-    scheduler.setConnectionBurst(3);
-    scheduler.setConnectionShare(1, now);
+    ConnectionAllotment allotment;
+    allotment.burst = 3;
+    scheduler.setConnections(allotment, now);
     auto begin = request(1, StatementKind::Write);
     begin.scope = RequestScope::BeginTransaction;
     scheduler.submit(begin, now);
@@ -554,6 +556,35 @@
     BOOST_TEST(port.opened.size() == opened);
 }
 
+// Guards against a proxy that refuses every request for good: a connection was closed because its
+// reply was lost, the server counted as silent from then on, and nothing asked it again.
+BOOST_AUTO_TEST_CASE(server_that_owes_a_reply_is_asked_again_without_a_standing_connection)
+{
+    ConnectionAllotment allotment;
+    allotment.standing = false;
+    allotment.idleLimit = 200ms;
+    scheduler.setWitness(false, 7);
+    scheduler.setConnections(allotment, now);
+    auto write = request(1, StatementKind::Write);
+    scheduler.submit(write, now);
+    // The reply to the write is lost, and the connection is closed at the deadline.
+    wait(900ms);
+    BOOST_TEST((port.answers.at(1).answer.error == AnswerCode::InDoubt));
+    port.sent.clear();
+    wait(1500ms);
+    connectAll();
+    waitAndServe(100ms);
+    scheduler.submit(request(2, StatementKind::Write), now);
+    connectAll();
+    waitAndServe(100ms);
+    BOOST_REQUIRE(port.answers.contains(2));
+    BOOST_TEST(!port.answers.at(2).answer.error.has_value());
+    // Once it has answered, no connection is kept.
+    waitAndServe(1000ms);
+    for (const auto &[number, link] : scheduler.servers())
+        BOOST_TEST(link.connections.empty());
+}
+
 // Guards against promotions ordered by many proxies at once: only witnesses report suspicions and
 // order promotions.
 BOOST_AUTO_TEST_CASE(proxy_that_is_no_witness_reports_and_orders_nothing)
@@ -561,7 +592,7 @@
     sampleWatermark();
     waitAndServe(50ms);
     port.suspicions.clear();
-    scheduler.setWitness(false);
+    scheduler.setWitness(false, 7);
     scheduler.setSuspicions({"p", "p", "p"}, 4, now);
     scheduler.submit(request(1, StatementKind::Write), now);
     for (int i = 0; i < 80; ++i) {
@@ -571,7 +602,7 @@
     }
     BOOST_TEST(port.suspicions.empty());
     BOOST_TEST(port.promotions.empty());
-    scheduler.setWitness(true);
+    scheduler.setWitness(true, 0);
     for (int i = 0; i < 30 && port.promotions.empty(); ++i) {
         wait(10ms);
         serve("r1");
