Space the watches of the store in a large fleet

Cause: each change in the store ends the watch of every proxy. Change: WatchPacer takes six answers with changes at 50 ms, refilled every 2 s, and spaces further ones by 5 ms for each proxy, at most 500 ms. Calls are counted by kind.

--- a/src/gateway/directoryactor.cpp
+++ b/src/gateway/directoryactor.cpp
@@ -63,11 +63,11 @@
 }
 
 template<class Decode, class Handle>
-void DirectoryActor::call(const caf::actor &caller, HttpCall call, Decode decode, Handle handle,
-                          void (DirectoryActor::*failed)())
+void DirectoryActor::call(const caf::actor &caller, std::string_view kind, HttpCall call,
+                          Decode decode, Handle handle, void (DirectoryActor::*failed)())
 {
     const auto timeout = call.timeout + context_.callTimeout + HttpCaller::transferLimit;
-    ++storeCalls_;
+    ++storeCalls_[std::string(kind)];
     const auto callName = call.method + ' ' + call.target.substr(0, call.target.find('?'));
     self_->request(caller, timeout, HttpCallRequest{std::move(call)})
         .then(
@@ -108,7 +108,7 @@
     auto call = context_.protocols.store->list(watchedPrefix, after);
     call.timeout = context_.callTimeout;
     this->call(
-        context_.watchCaller, std::move(call),
+        context_.watchCaller, "list", std::move(call),
         [this](const HttpResponse &response) {
             return context_.protocols.store->decodePage(response);
         },
@@ -149,7 +149,7 @@
     auto call = context_.protocols.store->watch(watchedPrefix, revision_, context_.maxWatchWait);
     call.timeout = context_.maxWatchWait + context_.watchAnswerMargin;
     this->call(
-        context_.watchCaller, std::move(call),
+        context_.watchCaller, "watch", std::move(call),
         [this](const HttpResponse &response) {
             return context_.protocols.store->decodeChanges(response);
         },
@@ -173,17 +173,11 @@
     revision_ = std::max(revision_, changes.revision);
     publish();
     scheduleExpiry();
-    scheduleWatch();
-}
-
-/// Starts the next watch, at least minWatchInterval after the last one: each answered watch of each
-/// proxy costs the store a call, so changes in quick succession should share one.
-void DirectoryActor::scheduleWatch()
-{
-    const auto due = lastWatchAt_ + context_.minWatchInterval;
     const auto now = context_.clock->now();
-    if (now < due)
-        self_->delayed_send(self_, due - now, RetryWatch::value);
+    pacer_.setProxies(directory_.proxyCount());
+    const auto next = changes.changes.empty() ? now : pacer_.changed(lastWatchAt_, now);
+    if (next > now)
+        self_->delayed_send(self_, next - now, RetryWatch::value);
     else
         watch();
 }
@@ -283,7 +277,7 @@
     auto call = context_.protocols.store->grantLease(context_.leaseDuration);
     call.timeout = context_.callTimeout;
     this->call(
-        context_.storeCaller, std::move(call),
+        context_.storeCaller, "grant", std::move(call),
         [this](const HttpResponse &response) {
             return context_.protocols.store->decodeLease(response);
         },
@@ -301,7 +295,7 @@
         context_.protocols.store->write(key, encodeFleetEntry(context_.self), lease_, std::nullopt);
     call.timeout = context_.callTimeout;
     this->call(
-        context_.storeCaller, std::move(call),
+        context_.storeCaller, "write", std::move(call),
         [this](const HttpResponse &response) {
             return context_.protocols.store->decodeWrite(response);
         },
@@ -320,7 +314,7 @@
     auto call = context_.protocols.store->renewLease(lease_);
     call.timeout = context_.callTimeout;
     this->call(
-        context_.storeCaller, std::move(call),
+        context_.storeCaller, "renew", std::move(call),
         [this](const HttpResponse &response) {
             return context_.protocols.store->decodeRenewal(response);
         },
@@ -430,7 +424,7 @@
                     : context_.protocols.store->remove(key);
     call.timeout = context_.callTimeout;
     this->call(
-        context_.storeCaller, std::move(call),
+        context_.storeCaller, "suspicion", std::move(call),
         [this](const HttpResponse &response) {
             return context_.protocols.store->decodeWrite(response);
         },
@@ -454,8 +448,12 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count();
     };
     const auto &configuration = directory_.configuration();
-    return {metricText("shallotwalk_store_calls_total", "counter", "Calls to the platform's store.",
-                       storeCalls_)
+    std::string calls;
+    for (const auto &[kind, count] : storeCalls_) {
+        calls += metricText("shallotwalk_store_calls_total", "counter",
+                            "Calls to the platform's store.", count, "kind=\"" + kind + "\"");
+    }
+    return {calls
             + metricText("shallotwalk_store_available", "gauge", "Whether the last call succeeded.",
                          directory_.storeAvailable() ? 1 : 0)
             + metricText("shallotwalk_directory_age_ms", "gauge",
--- a/src/gateway/directoryactor.h
+++ b/src/gateway/directoryactor.h
@@ -27,8 +27,6 @@
     /// Longest time that the store may hold a watch without changes. Shorter than the time in which
     /// a new configuration must be in force, so that a watch without changes ends first.
     Duration maxWatchWait{std::chrono::milliseconds(2000)};
-    /// Minimum time between the starts of two watches. Short against the time to replace a primary.
-    Duration minWatchInterval{std::chrono::milliseconds(50)};
     /// Time beyond maxWatchWait for the answer to a watch to arrive.
     Duration watchAnswerMargin{std::chrono::milliseconds(700)};
     /// Timeout of all calls other than watches.
@@ -61,15 +59,14 @@
 
 private:
     template<class Decode, class Handle>
-    void call(const caf::actor &caller, HttpCall call, Decode decode, Handle handle,
-              void (DirectoryActor::*failed)());
+    void call(const caf::actor &caller, std::string_view kind, HttpCall call, Decode decode,
+              Handle handle, void (DirectoryActor::*failed)());
 
     caf::behavior start(DirectoryContext context);
     void list(std::string after);
     void handlePage(const StorePage &page);
     void listFailed();
     void watch();
-    void scheduleWatch();
     void handleChanges(const StoreChanges &changes);
     void watchFailed();
     void applyItem(const KeyValue &item);
@@ -107,7 +104,9 @@
     bool expiryScheduled_ = false;  ///< An ExpireEntries message is scheduled.
     bool leaving_ = false;          ///< The fleet has been left; no new lease is requested.
     InvalidEntries invalidEntries_; ///< Entries ignored because they could not be decoded.
-    std::uint64_t storeCalls_ = 0; ///< Calls made to the store.
+    /// Number of calls made to the store, by kind.
+    std::map<std::string, std::uint64_t, std::less<>> storeCalls_;
+    WatchPacer pacer_;
     TimePoint lastAnswerAt_;         ///< Time of the last successful answer of the store.
     TimePoint configurationTakenAt_; ///< Time when the configuration in force was adopted.
 };
