Repeat failed calls of a large fleet to the store less often

Cause: listings and watches that fail were repeated every 250 ms for as long as the store refused them. Change: WatchPacer doubles the delay up to 12 ms for each proxy of the fleet, at most 1 s. A fleet of up to 20 proxies keeps 250 ms.

--- a/src/core/store/watchpacer.cpp
+++ b/src/core/store/watchpacer.cpp
@@ -10,6 +10,15 @@
 {
 }
 
+Duration WatchPacer::failed()
+{
+    constexpr unsigned maxDoublings = 4;
+    const auto longest = std::clamp<Duration>(settings_.retryDelayPerProxy * proxies_,
+                                              settings_.retryDelay, settings_.longestRetryDelay);
+    const auto delay = settings_.retryDelay * (1U << std::min(failures_++, maxDoublings));
+    return std::min<Duration>(delay, longest);
+}
+
 TimePoint WatchPacer::changed(TimePoint startedAt, TimePoint now)
 {
     const std::chrono::duration<double> elapsed = now - refilledAt_;
--- a/src/gateway/directoryactor.cpp
+++ b/src/gateway/directoryactor.cpp
@@ -127,6 +127,7 @@
         list(page.items.back().key);
         return;
     }
+    pacer_.succeeded();
     directoryChanged_ = directory_.endListing(context_.clock->now()) || directoryChanged_;
     revision_ = listRevision_;
     spdlog::info("event=directory_read revision={} servers={} proxies={} configuration={}",
@@ -140,7 +141,7 @@
 
 void DirectoryActor::listFailed()
 {
-    self_->delayed_send(self_, context_.retryDelay, RetryList::value);
+    self_->delayed_send(self_, pacer_.failed(), RetryList::value);
 }
 
 void DirectoryActor::watch()
@@ -170,6 +171,7 @@
         else
             applyItem(item);
     }
+    pacer_.succeeded();
     revision_ = std::max(revision_, changes.revision);
     publish();
     scheduleExpiry();
@@ -184,7 +186,7 @@
 
 void DirectoryActor::watchFailed()
 {
-    self_->delayed_send(self_, context_.retryDelay, RetryWatch::value);
+    self_->delayed_send(self_, pacer_.failed(), RetryWatch::value);
 }
 
 void DirectoryActor::applyItem(const KeyValue &item)
--- a/src/gateway/directoryactor.h
+++ b/src/gateway/directoryactor.h
@@ -31,7 +31,7 @@
     Duration watchAnswerMargin{std::chrono::milliseconds(700)};
     /// Timeout of all calls other than watches.
     Duration callTimeout{std::chrono::milliseconds(1000)};
-    /// Delay before a failed listing, watch or write of the fleet entry is repeated.
+    /// Delay before a failed write of the fleet entry is repeated.
     Duration retryDelay{std::chrono::milliseconds(250)};
     /// Time after which the store removes the fleet entry of a proxy that doesn't renew its lease.
     /// Until then the proxy is allotted a share of the connections to the servers.
--- a/tests/sessions/test_watchpacer.cpp
+++ b/tests/sessions/test_watchpacer.cpp
@@ -56,4 +56,20 @@
     BOOST_TEST((play(4, 200, 3s).second <= 50ms));
 }
 
+// Guards against a large fleet whose refused calls are the larger part of its calls to the store.
+BOOST_AUTO_TEST_CASE(failed_calls_of_a_large_fleet_are_repeated_less_often)
+{
+    WatchPacer pacer;
+    BOOST_TEST((pacer.failed() == 250ms));
+    BOOST_TEST((pacer.failed() == 250ms)); // A single proxy may ask often.
+    pacer.succeeded();
+    pacer.setProxies(78);
+    BOOST_TEST((pacer.failed() == 250ms));
+    BOOST_TEST((pacer.failed() == 500ms));
+    for (int i = 0; i < 40; ++i)
+        BOOST_TEST((pacer.failed() <= 1000ms));
+    pacer.succeeded();
+    BOOST_TEST((pacer.failed() == 250ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
