Refuse at once what gets no connection in half of its time

Cause: a request for a server without any open connection was queued as long as the next attempt to connect came before its deadline, and the wait for that attempt didn't count in its admission. Change: the wait for a connection is bounded by half of the time to the goal, as the admission policy bounds the wait for an open one. The care for connections moves to a file of its own, without a change.

--- a/src/core/groupscheduler.cpp
+++ b/src/core/groupscheduler.cpp
@@ -134,6 +134,16 @@
     return std::max(now, link.budget.retryAt(link.registration.id));
 }
 
+/// Whether a connection to a server can be open when half of the time to \a deadline is left; the
+/// admission policy bounds the wait for an open connection in the same way.
+bool GroupScheduler::opensInTime(const ServerLink &link, TimePoint deadline, TimePoint now) const
+{
+    if (link.openConnections() > 0 || keepsConnections())
+        return true;
+    const auto wait = earliestStart(link, now) - now + link.openingTime;
+    return 2 * wait < deadline - now;
+}
+
 /// The earliest time at which a request could be sent to any server.
 TimePoint GroupScheduler::earliestStart(TimePoint now) const
 {
@@ -149,8 +159,6 @@
 {
     auto &link = servers_.at(number);
     const auto &request = pending.request;
-    if (earliestStart(link, now) >= request.deadline - settings_.refusalMargin)
-        return false;
     WorkItem item;
     item.id = request.number;
     item.route = request.route;
@@ -163,6 +171,8 @@
     // waited for a server to become reachable doesn't count towards the goal.
     if (request.goal > Duration::zero())
         item.deadline = std::min(item.deadline, std::max(request.receivedAt, now) + request.goal);
+    if (!opensInTime(link, item.deadline, now))
+        return false;
     auto capacity = link.capacity();
     capacity.total = std::max<std::uint32_t>(capacity.total, 1);
     if (mayBurst(link, now))
--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -187,6 +187,7 @@
     bool enqueue(Pending &pending, ServerNumber number, TimePoint now);
     TimePoint earliestStart(const ServerLink &link, TimePoint now) const;
     TimePoint earliestStart(TimePoint now) const;
+    bool opensInTime(const ServerLink &link, TimePoint deadline, TimePoint now) const;
     void awaitServer(Pending &pending, TimePoint now);
     void dispatchWaiting(TimePoint now);
     Duration expectedResponse(const ServerLink &link, TimePoint now) const;
--- /dev/null
+++ b/src/core/groupscheduler_connections.cpp
@@ -0,0 +1,115 @@
+#include "core/groupscheduler.h"
+
+#include <algorithm>
+
+namespace shallotwalk {
+
+namespace {
+
+/// Idle time after which a connection beyond this proxy's share is closed, because other proxies
+/// may need it more.
+constexpr Duration idleBurstLimit = std::chrono::milliseconds(300);
+
+} // namespace
+
+bool GroupScheduler::reachable(const ServerLink &link, TimePoint now) const
+{
+    if (link.openConnections() > 0)
+        return true;
+    return !keepsConnections() && !link.failing()
+           && now >= link.budget.retryAt(link.registration.id);
+}
+
+void GroupScheduler::setConnections(const ConnectionAllotment &allotment, TimePoint now)
+{
+    allotment_ = allotment;
+    for (auto &[number, link] : servers_) {
+        link.budget.setLimit(allotment_.share);
+        link.budget.setLongestOpenFailureDelay(allotment_.longestRetryDelay);
+    }
+    tick(now);
+}
+
+void GroupScheduler::closeSurplusConnections(ServerNumber number, TimePoint now)
+{
+    auto *link = find(number);
+    if (link == nullptr)
+        return;
+    std::size_t limit = std::max(allotment_.share, allotment_.burst);
+    if (!usable(*link, now))
+        limit = monitored(*link, now) ? 1 : 0;
+    const std::size_t kept = keepsConnections() ? 1 : 0;
+    std::vector<ConnectionId> closed;
+    for (const auto &[id, connection] : link->connections) {
+        const auto remaining = link->connections.size() - closed.size();
+        const bool surplus = remaining > limit;
+        const auto idleLimit = remaining > allotment_.share
+                                   ? std::min(idleBurstLimit, allotment_.idleLimit)
+                                   : allotment_.idleLimit;
+        if (!surplus && (remaining <= kept || now - connection.lastUsed < idleLimit))
+            continue;
+        if (connection.idle() && link->budget.take(id))
+            closed.push_back(id);
+    }
+    for (const auto id : closed) {
+        port_.closeConnection({number, id});
+        link->connections.erase(id);
+        link->budget.closed(id, false, now);
+    }
+    if (!link->registered && link->connections.empty())
+        servers_.erase(number);
+}
+
+bool GroupScheduler::mayBurst(const ServerLink &link, TimePoint now) const
+{
+    return allotment_.burst > link.connections.size() && now >= link.burstRefusedUntil;
+}
+
+std::size_t GroupScheduler::connectionLimit(const ServerLink &link, TimePoint now) const
+{
+    // With at most one request waiting for each connection that holds no transaction, the requests
+    // are served before a new connection could be opened.
+    const bool needed = link.policy->queued() > link.capacity().total;
+    return needed && mayBurst(link, now) ? allotment_.burst : allotment_.share;
+}
+
+void GroupScheduler::openConnection(ServerNumber number, ConnectionId id, TimePoint now)
+{
+    auto &link = servers_.at(number);
+    auto &connection = link.connections[id];
+    connection.outstanding.push_back({ExpectedReply::Opening, now});
+    link.commandsSent(now);
+    connection.lastUsed = now;
+    ++counters_.connectionsOpened;
+    port_.openConnection({number, id}, link.registration);
+}
+
+void GroupScheduler::keepConnected(ServerNumber number, TimePoint now)
+{
+    auto *link = find(number);
+    if (link == nullptr)
+        return;
+    std::vector<ServerConnectionKey> stuck;
+    for (const auto &[id, connection] : link->connections) {
+        if (connection.outstanding.empty() || connection.request)
+            continue;
+        const auto &oldest = connection.outstanding.front();
+        if (now - oldest.sentAt > settings_.openTimeout)
+            stuck.push_back({number, id});
+    }
+    for (const auto &key : stuck) {
+        link->connectionFailed(now);
+        abortConnection(key, "no answer to a command of the proxy", now);
+    }
+    // A server that has failed, or still owes a reply, is tried again without a request: it gets no
+    // requests until it answers.
+    const bool wanted =
+        keepsConnections() || link->failing() || link->silence(now) > Duration::zero();
+    if (!wanted || !link->connections.empty() || !monitored(*link, now))
+        return;
+    const auto step = link->budget.acquire(link->registration.id, now);
+    if (const auto *opening = std::get_if<OpenConnection>(&step))
+        openConnection(number, opening->id, now);
+}
+
+} // namespace shallotwalk
