--- a/tests/adapter/test_oddentries.cpp
+++ b/tests/adapter/test_oddentries.cpp
@@ -62,7 +62,7 @@
 // Guards against a server's id that would add a line of its own to what is sent to the server.
 BOOST_AUTO_TEST_CASE(id_that_is_no_word_is_refused)
 {
-    for (const std::string id :
+    for (const std::string &id :
          {std::string(), std::string("a b"), std::string("a\r\nQUERY x"), std::string("a\0b", 3),
           std::string("\xff"), std::string(300, 'i')})
         checkMessage("id", failureOf([&] { return Documents().decodeServer(id, validEntry); }));
