--- a/tests/support/oddentries.cpp
+++ b/tests/support/oddentries.cpp
@@ -16,6 +16,12 @@
            + members + "}";
 }
 
+/// An entry whose \a member has \a value, which is written as JSON.
+OddEntry entryWith(const std::string &member, const std::string &value)
+{
+    return {member + " " + value, entryWith("\"" + member + "\": " + value)};
+}
+
 std::string repeated(std::string_view text, std::size_t count)
 {
     std::string result;
@@ -62,13 +68,13 @@
         entries.push_back({"address " + address, entryWith("\"address\": \"" + address + "\"")});
     for (const std::string number : {"1e400", "-1e400", "1e30", "99999999999999999999", "-1", "0",
                                      "2.5", "\"2\"", "null", "[2]", "{}", "true"})
-        entries.push_back({"slots " + number, entryWith("\"slots\": " + number)});
+        entries.push_back(entryWith("slots", number));
     for (const std::string number :
          {"1e400", "1e30", "18446744073709551616", "-1", "1.5", "\"1\"", "null", "[]"})
-        entries.push_back({"born " + number, entryWith("\"born\": " + number)});
+        entries.push_back(entryWith("born", number));
     for (const std::string member : {"service", "address", "zone", "state"}) {
         for (const std::string value : {"null", "5", "[]", "{}", "\"\"", "true"})
-            entries.push_back({member + " " + value, entryWith("\"" + member + "\": " + value)});
+            entries.push_back(entryWith(member, value));
     }
     entries.push_back({"unknown role", entryWith("\"db_role\": \"chief\"")});
     entries.push_back({"role of another type", entryWith("\"db_role\": 1")});
