--- a/tests/wire/test_exchangecodec.cpp
+++ b/tests/wire/test_exchangecodec.cpp
@@ -51,7 +51,7 @@
 
 BOOST_AUTO_TEST_CASE(decoded_message_equals_the_encoded_one)
 {
-    for (auto message : {sample(), ExchangeMessage{"p", 0, {}, {}, {}, false}}) {
+    for (const auto &message : {sample(), ExchangeMessage{"p", 0, {}, {}, {}, false}}) {
         const auto decoded = decode(encode(message));
         BOOST_REQUIRE(decoded.has_value());
         BOOST_TEST((*decoded == message));
