Count the held entries of proxies too

Cause: the check that removes entries held after an outage of the store was scheduled only if a server's entry was missing. A proxy that had ended during an outage was counted for good if no server was missing with it, so the others kept too small shares of the connections. Change: Directory::heldCount() counts servers and proxies. Result: directory_entries/missing_entry_of_a_proxy_is_held fails before (0 held) and passes after.

--- a/src/core/directory.cpp
+++ b/src/core/directory.cpp
@@ -229,8 +229,9 @@
 
 std::size_t Directory::heldCount() const
 {
-    return std::count_if(servers_.begin(), servers_.end(),
-                         [](const auto &entry) { return entry.second.goneSince.has_value(); });
+    const auto isHeld = [](const auto &entry) { return entry.second.goneSince.has_value(); };
+    return std::count_if(servers_.begin(), servers_.end(), isHeld)
+           + std::count_if(proxies_.begin(), proxies_.end(), isHeld);
 }
 
 } // namespace shallotwalk
--- a/src/core/directory.h
+++ b/src/core/directory.h
@@ -131,7 +131,7 @@
     std::vector<FleetMember> proxies() const;
     /// The last promotion of each service.
     std::vector<PromotionRecord> promotions() const;
-    /// Number of servers whose entry is missing in the store but still kept here.
+    /// Number of servers and proxies whose entry is missing in the store but still kept here.
     std::size_t heldCount() const;
 
 private:
--- a/tests/sessions/test_directory.cpp
+++ b/tests/sessions/test_directory.cpp
@@ -77,6 +77,21 @@
     BOOST_TEST(directory.servers().size() == 1);
 }
 
+// Guards against a proxy that is counted for good after it has ended during an outage: the check
+// for expired entries ran only if a server's entry was missing too, so that the others kept too
+// small shares of the connections.
+BOOST_AUTO_TEST_CASE(missing_entry_of_a_proxy_is_held)
+{
+    directory.proxySeen({"front-1", "nord", "10.0.0.1", 7440});
+    directory.storeFailed(now);
+    directory.proxyGone("front-1", now);
+    BOOST_TEST(directory.heldCount() == 1U);
+    directory.storeAnswered(now);
+    BOOST_TEST(directory.expire(now + 3s));
+    BOOST_TEST(directory.heldCount() == 0U);
+    BOOST_TEST(directory.proxyCount() == 0U);
+}
+
 // Guards against losing a server that serves because another writer has overwritten its entry.
 BOOST_AUTO_TEST_CASE(server_whose_entry_turns_invalid_is_kept_until_the_entry_is_removed)
 {
