Let two proxies of each data centre watch the store for the others

FeedServer holds a follower's request until something is new. A follower whose watchers are dead, or turned away by the store, watches the store itself within a sixth of the limit for configurations; a watcher tells that it has lost the store, so that followers keep entries that lapse in an outage.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -69,6 +69,7 @@
 #include "core/sqlsession.h"
 #include "core/staleness/watermarksharing.h"
 #include "core/statement.h"
+#include "core/store/directorysource.h"
 #include "core/store/watchpacer.h"
 #include "core/swapoutcome.h"
 #include "core/tables.h"
--- a/src/core/feedrole.cpp
+++ b/src/core/feedrole.cpp
@@ -35,11 +35,14 @@
         askAt_.reset();
         answerDue_.reset();
         failingSince_.reset();
+        lostSince_.reset();
         return;
     }
     const bool known = std::find(watchers_.begin(), watchers_.end(), source_) != watchers_.end();
-    if (mode_ == FeedMode::Watcher)
+    if (mode_ == FeedMode::Watcher) {
         mode_ = FeedMode::Follower;
+        watches_ = settings_.watchUntilAnswered;
+    }
     if (!known)
         follow(watchers_[rendezvousWeight("feed", self_.vm) % watchers_.size()], now);
 }
@@ -70,10 +73,13 @@
     current_ = answer == FeedAnswer::Watching;
     if (current_) {
         lostWatches_.erase(source_);
+        lostSince_.reset();
         mode_ = FeedMode::Follower;
         watches_ = false;
         return;
     }
+    if (!lostSince_)
+        lostSince_ = now;
     // Both may have lost their watch in an outage of the store; then there is nothing to gain by
     // asking the other one more often, or by watching.
     lostWatches_.insert_or_assign(source_, now + settings_.lostWatchMemory);
@@ -106,8 +112,7 @@
         return;
     if (answerDue_ && now >= *answerDue_)
         fail(now);
-    if (mode_ == FeedMode::Follower && failingSince_
-        && now >= *failingSince_ + settings_.directDelay) {
+    if (now >= directDue()) {
         mode_ = FeedMode::Direct;
         watches_ = true;
     }
@@ -129,8 +134,19 @@
         due = std::min(due, *askAt_);
     if (answerDue_)
         due = std::min(due, *answerDue_);
-    if (mode_ == FeedMode::Follower && failingSince_)
-        due = std::min(due, *failingSince_ + settings_.directDelay);
+    return std::min(due, directDue());
+}
+
+/// When a follower begins to watch the store itself unless a watcher answers.
+TimePoint FeedRole::directDue() const
+{
+    auto due = TimePoint::max();
+    if (mode_ != FeedMode::Follower)
+        return due;
+    if (failingSince_)
+        due = *failingSince_ + settings_.directDelay;
+    if (lostSince_ && settings_.lostWatchLimit)
+        due = std::min(due, *lostSince_ + *settings_.lostWatchLimit);
     return due;
 }
 
--- a/src/core/feedrole.h
+++ b/src/core/feedrole.h
@@ -35,6 +35,11 @@
     Duration directDelay{std::chrono::seconds(12)};
     /// Time for which a watcher that has lost its watch is avoided if the other has not.
     Duration lostWatchMemory{std::chrono::seconds(10)};
+    /// Time without a watcher whose watch is established before this VM watches the store itself;
+    /// empty: never, because the store is assumed to be away for all VMs alike.
+    std::optional<Duration> lostWatchLimit;
+    /// Whether a VM watches the store until a watcher has answered it for the first time.
+    bool watchUntilAnswered = true;
 };
 
 /// A request to send.
@@ -85,6 +90,7 @@
 private:
     void follow(std::string source, TimePoint now);
     void fail(TimePoint now);
+    TimePoint directDue() const;
     std::string other() const;
     bool hasLostWatch(const std::string &vm, TimePoint now) const;
 
@@ -99,6 +105,8 @@
     std::optional<TimePoint> askAt_;
     std::optional<TimePoint> answerDue_;
     std::optional<TimePoint> failingSince_;
+    std::optional<TimePoint>
+        lostSince_; ///< Since when the answering watchers have lost their watch.
     std::map<std::string, TimePoint, std::less<>> lostWatches_; ///< Until when.
 };
 
--- a/src/core/feedview.h
+++ b/src/core/feedview.h
@@ -32,6 +32,9 @@
     /// Takes changes that this VM's watch has reported; returns those that are new.
     std::vector<KeyValue> changeRecords(std::span<const FeedChange> changes);
 
+    /// No record has changed between the last known change and \a revision.
+    void advanceRecords(std::int64_t revision) { records_.advanceTo(revision); }
+
     /// Takes a list of VMs that this VM has read; returns whether it differs.
     bool loadVms(std::span<const KeyValue> vms);
 
--- /dev/null
+++ b/src/core/store/directorysource.cpp
@@ -0,0 +1,98 @@
+#include "core/store/directorysource.h"
+
+namespace shallotwalk {
+
+namespace {
+
+/// Time for a held request to be answered beyond the hold time, within a data centre.
+constexpr Duration answerMargin = std::chrono::milliseconds(400);
+
+} // namespace
+
+DirectorySourceSettings DirectorySourceSettings::within(Duration limit)
+{
+    DirectorySourceSettings settings;
+    settings.holdTime = limit / 4;
+    settings.role.heldAnswerLimit = settings.holdTime + answerMargin;
+    settings.role.answerLimit = limit / 8;
+    settings.role.retryInterval = limit / 8;
+    settings.role.directDelay = limit / 6;
+    settings.role.lostWatchLimit = limit / 6;
+    settings.role.watchUntilAnswered = false;
+    return settings;
+}
+
+DirectorySource::DirectorySource(CandidateVm self, const DirectorySourceSettings &settings)
+    : settings_(settings)
+    , role_(std::move(self), settings.role)
+{
+}
+
+void DirectorySource::setMembers(std::span<const FleetMember> members, TimePoint now)
+{
+    members_.clear();
+    std::vector<CandidateVm> reachable;
+    for (const auto &member : members) {
+        if (member.host.empty())
+            continue;
+        members_.insert_or_assign(member.vm, member);
+        reachable.push_back({member.vm, member.dataCentre});
+    }
+    role_.updateMembers(reachable, {}, now);
+}
+
+void DirectorySource::listed(std::span<const KeyValue> items, std::int64_t revision)
+{
+    view_.loadRecords(items, revision);
+}
+
+std::vector<KeyValue> DirectorySource::changed(std::span<const FeedChange> changes,
+                                               std::int64_t revision)
+{
+    auto news = view_.changeRecords(changes);
+    view_.advanceRecords(revision);
+    return news;
+}
+
+std::optional<SourceRequest> DirectorySource::takeRequest(TimePoint now)
+{
+    if (requestPending_)
+        return std::nullopt;
+    const auto ask = role_.takeAsk(now);
+    if (!ask)
+        return std::nullopt;
+    const auto found = members_.find(ask->vm);
+    if (found == members_.end())
+        return std::nullopt;
+    SourceRequest request;
+    request.watcher = found->second;
+    request.request.id = ++lastRequest_;
+    request.request.records = view_.recordsCursor();
+    request.request.hold = ask->hold;
+    request.request.watchConnected = heardConnected_;
+    request.timeout = ask->hold ? settings_.role.heldAnswerLimit : settings_.role.answerLimit;
+    requestPending_ = true;
+    return request;
+}
+
+std::vector<KeyValue> DirectorySource::answered(std::string_view vm, const FeedReply &reply,
+                                                TimePoint now)
+{
+    requestPending_ = false;
+    // The fleet may have changed since the request was sent.
+    if (vm != role_.source())
+        return {};
+    if (reply.answer != FeedAnswer::Refused)
+        heardConnected_ = reply.answer == FeedAnswer::Watching;
+    auto news = view_.take(reply).records;
+    role_.answered(vm, reply.answer, now);
+    return news;
+}
+
+void DirectorySource::failed(std::string_view vm, TimePoint now)
+{
+    requestPending_ = false;
+    role_.connectionLost(vm, now);
+}
+
+} // namespace shallotwalk
--- a/src/gateway/directoryactor.cpp
+++ b/src/gateway/directoryactor.cpp
@@ -31,11 +31,19 @@
 caf::behavior DirectoryActor::start(DirectoryContext context)
 {
     context_ = std::move(context);
+    source_.emplace(CandidateVm{context_.self.vm, context_.self.dataCentre}, context_.source);
+    // The feed may still serve what an earlier run of this actor has told it.
+    self_->send(context_.feed, FeedStopped{});
+    storeCallInProgress_ = true;
     list({});
     joinFleet();
     return {
         [this](RetryList) { list({}); },
-        [this](RetryWatch) { watch(); },
+        [this](RetryWatch) { continueWatching(); },
+        [this](ReviewSource) {
+            sourceDueAt_ = TimePoint::max();
+            reviewSource();
+        },
         [this](RenewLease, std::uint64_t number) {
             if (number != renewalNumber_)
                 return; // A later renewal has been scheduled since.
@@ -53,6 +61,8 @@
         [this](DirectoryRequest) {
             directoryChanged_ = true;
             publish();
+            if (watching_)
+                loadFeed();
         },
         [this](const ReportSuspicion &message) { reportSuspicion(message); },
         [this](LeaveFleet) { leaveFleet(); },
@@ -104,6 +114,7 @@
     if (after.empty()) {
         directory_.beginListing();
         listRevision_ = 0;
+        listItems_.clear();
     }
     auto call = context_.protocols.store->list(watchedPrefix, after);
     call.timeout = context_.callTimeout;
@@ -119,6 +130,7 @@
 {
     for (const auto &item : page.items)
         applyItem(item);
+    listItems_.insert(listItems_.end(), page.items.begin(), page.items.end());
     // The pages are not one snapshot: changes after the first page are reported by the watch, which
     // starts at the revision of that page.
     if (listRevision_ == 0)
@@ -129,14 +141,17 @@
     }
     pacer_.succeeded();
     directoryChanged_ = directory_.endListing(context_.clock->now()) || directoryChanged_;
-    revision_ = listRevision_;
+    source_->listed(std::exchange(listItems_, {}), listRevision_);
+    listed_ = true;
+    if (watching_)
+        loadFeed();
     spdlog::info("event=directory_read revision={} servers={} proxies={} configuration={}",
-                 revision_, directory_.servers().size(), directory_.proxyCount(),
+                 listRevision_, directory_.servers().size(), directory_.proxyCount(),
                  directory_.configuration() ? directory_.configuration()->tables->version : 0);
     directoryChanged_ = true;
     publish();
     scheduleExpiry();
-    watch();
+    continueWatching();
 }
 
 void DirectoryActor::listFailed()
@@ -144,11 +159,21 @@
     self_->delayed_send(self_, pacer_.failed(), RetryList::value);
 }
 
+/// Goes on after a watch or the delay before one, unless a watcher is asked by now.
+void DirectoryActor::continueWatching()
+{
+    storeCallInProgress_ = source_->watchesStore();
+    if (storeCallInProgress_)
+        watch();
+}
+
 void DirectoryActor::watch()
 {
     lastWatchAt_ = context_.clock->now();
-    auto call = context_.protocols.store->watch(watchedPrefix, revision_, context_.maxWatchWait);
-    call.timeout = context_.maxWatchWait + context_.watchAnswerMargin;
+    const auto wait =
+        directory_.storeAvailable() ? context_.maxWatchWait : context_.watchWaitAfterFailure;
+    auto call = context_.protocols.store->watch(watchedPrefix, source_->revision(), wait);
+    call.timeout = wait + context_.watchAnswerMargin;
     this->call(
         context_.watchCaller, "watch", std::move(call),
         [this](const HttpResponse &response) {
@@ -161,18 +186,20 @@
 void DirectoryActor::handleChanges(const StoreChanges &changes)
 {
     if (changes.historyLost) {
-        spdlog::warn("event=store_history_lost revision={}", revision_);
+        spdlog::warn("event=store_history_lost revision={}", source_->revision());
         list({});
         return;
     }
-    for (const auto &[item, deleted] : changes.changes) {
-        if (deleted)
-            applyRemoval(item.key);
-        else
-            applyItem(item);
+    std::vector<FeedChange> reported;
+    reported.reserve(changes.changes.size());
+    for (const auto &[item, deleted] : changes.changes)
+        reported.push_back({item, deleted});
+    applyNews(source_->changed(reported, changes.revision));
+    if (watching_) {
+        self_->send(context_.feed, FeedChanged{std::move(reported), changes.revision});
+        self_->send(context_.feed, FeedConnected{true});
     }
     pacer_.succeeded();
-    revision_ = std::max(revision_, changes.revision);
     publish();
     scheduleExpiry();
     const auto now = context_.clock->now();
@@ -181,11 +208,13 @@
     if (next > now)
         self_->delayed_send(self_, next - now, RetryWatch::value);
     else
-        watch();
+        continueWatching();
 }
 
 void DirectoryActor::watchFailed()
 {
+    if (watching_)
+        self_->send(context_.feed, FeedConnected{false});
     self_->delayed_send(self_, pacer_.failed(), RetryWatch::value);
 }
 
@@ -388,6 +417,8 @@
         publishDirectory();
     for (const auto &service : std::exchange(changedSuspicions_, {}))
         publishSuspicions(service);
+    // The choice of watchers depends on the proxies of the fleet.
+    reviewSource();
 }
 
 void DirectoryActor::publishDirectory()
@@ -401,7 +432,9 @@
     for (const auto &service : directory_.services())
         message.roles.emplace(service, directory_.witnessRole(service, context_.self.vm));
     self_->send(context_.groups, std::move(message));
-    self_->send(context_.exchange, FleetChanged{directory_.proxies()});
+    auto proxies = directory_.proxies();
+    source_->setMembers(proxies, context_.clock->now());
+    self_->send(context_.exchange, FleetChanged{std::move(proxies)});
     // Repeated for groups that have just started and haven't received earlier promotions.
     for (auto &record : directory_.promotions())
         self_->send(context_.groups, PromotionRecorded{std::move(record)});
@@ -456,6 +489,9 @@
                             "Calls to the platform's store.", count, "kind=\"" + kind + "\"");
     }
     return {calls
+            + metricText("shallotwalk_store_watching", "gauge",
+                         "Whether this proxy watches the store, rather than asking one that does.",
+                         watching_ ? 1 : 0)
             + metricText("shallotwalk_store_available", "gauge", "Whether the last call succeeded.",
                          directory_.storeAvailable() ? 1 : 0)
             + metricText("shallotwalk_directory_age_ms", "gauge",
@@ -475,7 +511,9 @@
 StateDump DirectoryActor::dump() const
 {
     return {boost::json::object{
-        {"revision", revision_},
+        {"revision", source_->revision()},
+        {"watchesStore", watching_},
+        {"watcher", source_->watcher()},
         {"storeAvailable", directory_.storeAvailable()},
         {"servers", directory_.servers().size()},
         {"heldEntries", directory_.heldCount()},
--- a/src/gateway/directoryactor.h
+++ b/src/gateway/directoryactor.h
@@ -21,12 +21,17 @@
     GatewayProtocols protocols;
     caf::actor watchCaller; ///< HttpCaller for listings and watches.
     caf::actor storeCaller; ///< HttpCaller for all other calls to the store.
+    caf::actor feedCaller;  ///< HttpCaller for requests to watchers of the store.
+    caf::actor feed;        ///< Gets FeedLoaded, FeedChanged, FeedConnected and FeedStopped.
     caf::actor groups;      ///< Gets DirectoryChanged, SuspicionsChanged and PromotionRecorded.
     caf::actor exchange;    ///< Gets FleetChanged.
     std::shared_ptr<const Clock> clock;
+    DirectorySourceSettings source;
     /// Longest time that the store may hold a watch without changes. Shorter than the time in which
     /// a new configuration must be in force, so that a watch without changes ends first.
     Duration maxWatchWait{std::chrono::milliseconds(2000)};
+    /// The same after a failed call, so that it is soon known that the store answers again.
+    Duration watchWaitAfterFailure{std::chrono::milliseconds(200)};
     /// Time beyond maxWatchWait for the answer to a watch to arrive.
     Duration watchAnswerMargin{std::chrono::milliseconds(700)};
     /// Timeout of all calls other than watches.
@@ -41,7 +46,8 @@
 };
 
 /// State of the broker that keeps the Directory up to date: it lists the store once, then watches
-/// it from the revision of the listing. It also registers this proxy in the fleet by an entry in
+/// it from the revision of the listing, or asks another proxy that does, as DirectorySource
+/// decides. It also registers this proxy in the fleet by an entry in
 /// the store that is bound to a lease.
 class DirectoryActor
 {
@@ -58,6 +64,8 @@
     static inline const char *name = "directory";
 
 private:
+    using ReviewSource = caf::atom_constant<caf::atom("source")>;
+
     template<class Decode, class Handle>
     void call(const caf::actor &caller, std::string_view kind, HttpCall call, Decode decode,
               Handle handle, void (DirectoryActor::*failed)());
@@ -67,8 +75,17 @@
     void handlePage(const StorePage &page);
     void listFailed();
     void watch();
+    void continueWatching();
     void handleChanges(const StoreChanges &changes);
     void watchFailed();
+    void reviewSource();
+    void updateWatching();
+    void loadFeed();
+    void askWatcher(SourceRequest request);
+    void handleResult(const std::string &watcher, const HttpCallResult &result);
+    void handleReply(const std::string &watcher, const FeedReply &reply);
+    void watcherFailed(const std::string &watcher, std::string_view error);
+    void applyNews(std::span<const KeyValue> news);
     void applyItem(const KeyValue &item);
     void applyInvalidItem(const KeyValue &item, std::string_view reason);
     void applyRemoval(std::string_view key);
@@ -92,9 +109,16 @@
     Broker *self_;
     DirectoryContext context_;
     Directory directory_;
-    std::int64_t revision_ = 0;     ///< Store revision that the directory reflects.
-    std::int64_t listRevision_ = 0; ///< Revision of the first page of the listing in progress.
-    std::uint64_t lease_ = 0;       ///< Lease of this proxy's fleet entry; 0: none.
+    std::optional<DirectorySource> source_;
+    std::int64_t listRevision_ = 0;   ///< Revision of the first page of the listing in progress.
+    std::vector<KeyValue> listItems_; ///< Items of the listing in progress.
+    bool listed_ = false;             ///< The store has been listed completely.
+    /// A listing, a watch, or the delay before one is in progress.
+    bool storeCallInProgress_ = false;
+    bool watching_ = false; ///< As last decided by the source.
+    /// When the source is to be reviewed; messages for later times are ignored.
+    TimePoint sourceDueAt_ = TimePoint::max();
+    std::uint64_t lease_ = 0; ///< Lease of this proxy's fleet entry; 0: none.
     /// Number of the latest scheduled renewal; messages for earlier ones are ignored.
     std::uint64_t renewalNumber_ = 0;
     /// Services whose suspicions have changed since the last publication.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/datagramsocket.h"
 #include "gateway/directoryactor.h"
 #include "gateway/exchangeactor.h"
+#include "gateway/feedserver.h"
 #include "gateway/gatewaynode.h"
 #include "gateway/gatewayservice.h"
 #include "gateway/gatewaytree.h"
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -8,8 +8,8 @@
 
 namespace shallotwalk {
 
-/// HTTP service for the readiness of this proxy, its metrics, and a state dump of all actors.
-/// Immutable and thread-safe.
+/// HTTP service for the readiness of this proxy, its metrics, a state dump of all actors, and
+/// followers that ask for changes of the store. Immutable and thread-safe.
 class GatewayService : public HttpService
 {
 public:
@@ -19,18 +19,23 @@
         std::string readiness;
         std::string metrics;
         std::string state;
+        std::string feed;
     };
 
-    GatewayService(Paths paths, caf::actor node, caf::actor root,
+    /// \a feed is the FeedServer.
+    GatewayService(Paths paths, caf::actor node, caf::actor root, caf::actor feed,
                    std::vector<caf::actor> metricSources);
 
     void serve(const HttpRequest &request, std::string_view requestId, caf::io::broker &connection,
                Respond respond) const override;
 
 private:
+    void serveFeed(const HttpRequest &request, caf::io::broker &connection, Respond respond) const;
+
     Paths paths_;
     caf::actor node_;
     caf::actor root_;
+    caf::actor feed_;
     std::vector<caf::actor> metricSources_;
 };
 
--- a/src/gateway/gatewaytree.cpp
+++ b/src/gateway/gatewaytree.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/directoryactor.h"
 #include "gateway/exchangeactor.h"
+#include "gateway/feedserver.h"
 #include "gateway/groupsmanager.h"
 #include "gateway/httpcaller.h"
 #include "gateway/promotionactor.h"
@@ -16,7 +17,8 @@
 
 using Parent = caf::event_based_actor;
 
-constexpr std::size_t administrationConnectionLimit = 20;
+/// Followers keep a connection each. Half of a data centre's proxies may ask the same watcher.
+constexpr std::size_t administrationConnectionLimit = 300;
 
 /// File descriptors that are not available to client sessions: files, listeners, and the
 /// connections to the store and the backend servers.
@@ -29,6 +31,8 @@
         : watchCaller(system.spawn<Relay>("watchCaller"))
         , storeCaller(system.spawn<Relay>("storeCaller"))
         , platformCaller(system.spawn<Relay>("platformCaller"))
+        , feedCaller(system.spawn<Relay>("feedCaller"))
+        , feed(system.spawn<Relay>("feed"))
         , directory(system.spawn<Relay>("directory"))
         , promotions(system.spawn<Relay>("promotions"))
         , groups(system.spawn<Relay>("groups"))
@@ -41,6 +45,8 @@
     caf::actor watchCaller;
     caf::actor storeCaller;
     caf::actor platformCaller;
+    caf::actor feedCaller;
+    caf::actor feed;
     caf::actor directory;
     caf::actor promotions;
     caf::actor groups;
@@ -83,21 +89,38 @@
                         clock_),
             brokerChild("platformCaller", relays_.platformCaller, &HttpCaller::run,
                         settings_.platform, clock_),
+            brokerChild("feedCaller", relays_.feedCaller, &HttpCaller::run, HttpEndpoint{}, clock_),
+            feed(),
             promotions(),
             groups(),
             exchange(),
             sessions(),
             directory(),
-            httpListener("readiness", settings_.readiness, {settings_.readinessPath, {}, {}}),
+            httpListener("readiness", settings_.readiness, {settings_.readinessPath, {}, {}, {}}),
         };
         if (settings_.administration.port != 0) {
-            list.push_back(httpListener("administration", settings_.administration,
-                                        {{}, std::string(metricsPath), std::string(statePath)}));
+            list.push_back(httpListener(
+                "administration", settings_.administration,
+                {{}, std::string(metricsPath), std::string(statePath), std::string(feedPath)}));
         }
         return list;
     }
 
 private:
+    ChildSpecification feed() const
+    {
+        FeedServerContext context;
+        context.clock = clock_;
+        context.directory = relays_.directory;
+        context.holdTime = sourceSettings().holdTime;
+        return brokerChild("feed", relays_.feed, &FeedServer::run, context);
+    }
+
+    DirectorySourceSettings sourceSettings() const
+    {
+        return DirectorySourceSettings::within(settings_.configurationApplyLimit);
+    }
+
     ChildSpecification promotions() const
     {
         PromotionContext context;
@@ -166,6 +189,9 @@
         context.protocols = protocols_;
         context.watchCaller = relays_.watchCaller;
         context.storeCaller = relays_.storeCaller;
+        context.feedCaller = relays_.feedCaller;
+        context.feed = relays_.feed;
+        context.source = sourceSettings();
         context.groups = relays_.groups;
         context.exchange = relays_.exchange;
         context.clock = clock_;
@@ -177,9 +203,9 @@
     {
         auto context = std::make_shared<HttpConnectionContext>();
         context->service = std::make_shared<GatewayService>(
-            paths, node_, relays_.root,
+            paths, node_, relays_.root, relays_.feed,
             std::vector<caf::actor>{relays_.groups, relays_.sessions, relays_.directory,
-                                    relays_.exchange});
+                                    relays_.exchange, relays_.feed});
         context->clock = clock_;
         const ListenerSettings listener{name, endpoint.host, endpoint.port,
                                         administrationConnectionLimit};
--- a/src/gateway/gatewaytree.h
+++ b/src/gateway/gatewaytree.h
@@ -20,8 +20,11 @@
     SessionListenerSettings clients;
     HttpEndpoint readiness; ///< Address on which the load balancer asks for readiness.
     std::string readinessPath;
-    HttpEndpoint administration; ///< Address of metrics and state dumps; port 0: disabled.
-    HttpEndpoint exchange;       ///< UDP address for other proxies; port 0: disabled.
+    /// Address of metrics, state dumps and the feed; port 0: disabled.
+    HttpEndpoint administration;
+    /// UDP address for other proxies; port 0: disabled. Other proxies take the same address for
+    /// that of the feed, over TCP.
+    HttpEndpoint exchange;
     HttpEndpoint store;
     HttpEndpoint platform; ///< Address that takes orders to promote servers.
     /// Time from the shutdown signal until the process is killed.
@@ -34,6 +37,8 @@
 
 inline constexpr std::string_view metricsPath = "/metrics";
 inline constexpr std::string_view statePath = "/state";
+/// Followers ask a watcher of the store here, at its administration address.
+inline constexpr std::string_view feedPath = "/feed";
 
 /// Loads CAF's network module and sets the scheduler for the gateway.
 void configureGateway(caf::actor_system_config &config);
--- a/src/gateway/httpcaller.cpp
+++ b/src/gateway/httpcaller.cpp
@@ -36,7 +36,7 @@
     for (const auto &[name, value] : call.headers)
         text.append(name).append(": ").append(value).append("\r\n");
     if (!call.body.empty())
-        text += "Content-Type: application/json\r\n";
+        text += "Content-Type: " + call.contentType + "\r\n";
     if (!call.body.empty() || call.method == "POST")
         text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
     return text + "\r\n" + call.body;
@@ -107,20 +107,25 @@
     receivedAt_ = TimePoint{};
     parser_->parser.eager(true);
     parser_->parser.body_limit(bodyLimit);
-    if (!connection_ && !connect()) {
+    const auto &call = calls_.front().call;
+    const auto endpoint = call.endpoint.value_or(endpoint_);
+    if (connection_ && toString(endpoint) != toString(connectedTo_))
+        closeConnection();
+    if (!connection_ && !connect(endpoint)) {
         fail(std::strerror(errno)); // NOLINT: the text is copied at once.
         return;
     }
-    const auto bytes = encode(calls_.front().call, endpoint_);
+    const auto bytes = encode(call, endpoint);
     self_->write(*connection_, bytes.size(), bytes.data());
     self_->flush(*connection_);
 }
 
-bool HttpCaller::connect()
+bool HttpCaller::connect(const HttpEndpoint &endpoint)
 {
-    const int descriptor = openConnectingSocket(endpoint_.host, endpoint_.port, tcpUserTimeoutMs);
+    const int descriptor = openConnectingSocket(endpoint.host, endpoint.port, tcpUserTimeoutMs);
     if (descriptor < 0)
         return false;
+    connectedTo_ = endpoint;
     connection_ = self_->add_scribe(descriptor);
     self_->configure_read(*connection_, caf::io::receive_policy::at_most(readSize));
     return true;
--- a/src/gateway/httpcaller.h
+++ b/src/gateway/httpcaller.h
@@ -27,7 +27,8 @@
     {
     }
 
-    /// Returns the behaviour of a broker that sends its calls to \a endpoint.
+    /// Returns the behaviour of a broker that sends its calls to \a endpoint, except for those with
+    /// an endpoint of their own.
     static caf::behavior run(Broker *self, HttpEndpoint endpoint,
                              std::shared_ptr<const Clock> clock);
 
@@ -49,7 +50,7 @@
     caf::behavior start(HttpEndpoint endpoint, std::shared_ptr<const Clock> clock);
     caf::result<HttpCallResult> enqueue(HttpCall &call);
     void sendNext();
-    bool connect();
+    bool connect(const HttpEndpoint &endpoint);
     void handleData(const caf::io::new_data_msg &message);
     void checkTimeout(std::uint64_t number);
     bool isReceivingAnswer(const Call &call) const;
@@ -60,6 +61,7 @@
     HttpEndpoint endpoint_;
     std::shared_ptr<const Clock> clock_;
     std::optional<caf::io::connection_handle> connection_;
+    HttpEndpoint connectedTo_;       ///< Where connection_ leads to.
     std::shared_ptr<Parser> parser_; ///< Parser for the answer to the call in progress.
     TimePoint receivedAt_;           ///< Time of the last bytes of the answer in progress.
     std::deque<Call> calls_;         ///< Call queue; the first is in progress if parser_ is set.
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -42,6 +42,44 @@
     std::vector<FleetMember> members;
 };
 
+/// All items of the store, from which followers are brought up to date.
+struct FeedLoaded
+{
+    std::vector<KeyValue> items;
+    std::int64_t revision = 0;
+};
+
+/// Changes of the store up to a revision, in the store's order.
+struct FeedChanged
+{
+    std::vector<FeedChange> changes;
+    std::int64_t revision = 0;
+};
+
+/// Whether this proxy's watch of the store is established.
+struct FeedConnected
+{
+    bool connected = false;
+};
+
+/// This proxy no longer watches the store, so followers must ask another one.
+struct FeedStopped
+{
+};
+
+/// A follower asks for what is new in the store. The answer is a FeedAnswered, which may be held
+/// until there is something new.
+struct FeedAsked
+{
+    FeedRequest request;
+};
+
+/// The answer to a FeedAsked.
+struct FeedAnswered
+{
+    FeedReply reply;
+};
+
 /// A primary has told this proxy the position of its log, for the other proxies.
 struct WatermarkObserved
 {
@@ -179,6 +217,12 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::HttpCallResult)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::DirectoryChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::FleetChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::FeedLoaded)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::FeedChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::FeedConnected)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::FeedStopped)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::FeedAsked)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::FeedAnswered)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::WatermarkObserved)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::WatermarksHeard)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::PromotionRecorded)
--- a/src/gateway/protocols.h
+++ b/src/gateway/protocols.h
@@ -93,10 +93,13 @@
 {
     std::string method;
     std::string target;
-    std::string body; ///< JSON; empty: no body.
+    std::string body; ///< Empty: no body.
     std::vector<HttpHeader> headers;
     /// Time from the request to the HttpCaller until the answer must have begun to arrive.
     Duration timeout{std::chrono::milliseconds(1000)};
+    std::string contentType = "application/json"; ///< Of the body.
+    /// Where to send the request; empty: to the endpoint of the HttpCaller.
+    std::optional<HttpEndpoint> endpoint;
 };
 
 /// One page of a listing of the store.
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -5,6 +5,7 @@
 
 #include "wire/clock.h"
 #include "wire/exchangecodec.h"
+#include "wire/feedbody.h"
 #include "wire/httpclient.h"
 #include "wire/httpmessage.h"
 #include "wire/httprequestparser.h"
--- a/tests/feed/test_feedrole.cpp
+++ b/tests/feed/test_feedrole.cpp
@@ -168,6 +168,41 @@
     BOOST_CHECK(watcher.mode() == FeedMode::Follower && watcher.watchesStore());
 }
 
+// Guards against followers that learn nothing while the store turns away both watchers of their
+// data centre, but not them.
+BOOST_AUTO_TEST_CASE(lost_watch_limit_ends_the_wait_for_the_watchers)
+{
+    Follower follower;
+    FeedRoleSettings settings;
+    settings.lostWatchLimit = 1s;
+    settings.watchUntilAnswered = false;
+    const auto vm =
+        std::find_if(follower.members.begin(), follower.members.end(),
+                     [&](const CandidateVm &member) {
+                         return member.vm != follower.first && member.vm != follower.second;
+                     })
+            ->vm;
+    follower.role.emplace(CandidateVm{vm, "dc"}, settings);
+    follower.role->updateMembers(follower.members, {}, follower.now);
+    BOOST_CHECK(!follower.role->watchesStore());
+    const auto loseWatch = [&](Duration duration) {
+        for (const auto end = follower.now + duration; follower.now < end; follower.now += 100ms) {
+            follower.role->tick(follower.now);
+            if (follower.role->takeAsk(follower.now))
+                follower.answer(FeedAnswer::WatchLost);
+        }
+    };
+    loseWatch(900ms);
+    BOOST_CHECK(!follower.role->watchesStore());
+    loseWatch(300ms);
+    BOOST_CHECK(follower.role->mode() == FeedMode::Direct);
+    BOOST_CHECK(follower.role->watchesStore());
+    while (!follower.role->takeAsk(follower.now))
+        follower.now += 100ms;
+    follower.answer(FeedAnswer::Watching);
+    BOOST_CHECK(!follower.role->watchesStore());
+}
+
 // Guards against a store outage in which followers join the watchers in calling the store.
 BOOST_AUTO_TEST_CASE(store_outage_makes_nobody_watch)
 {
--- a/tests/gateway/test_processes.cpp
+++ b/tests/gateway/test_processes.cpp
@@ -61,6 +61,33 @@
     return std::chrono::milliseconds(servedAfter);
 }
 
+/// Value of the metric whose line begins with \a name; -1 if there is none.
+std::int64_t metric(PlatformFleet &fleet, std::size_t proxy, const std::string &name)
+{
+    const auto text = '\n' + fleet.administration(proxy, "/metrics");
+    const auto found = text.find('\n' + name + ' ');
+    return found == std::string::npos ? -1 : std::stoll(text.substr(found + name.size() + 2));
+}
+
+/// Waits until a session on \a database can be opened at all of \a proxies. Returns whether that
+/// was so within \a limit.
+bool isInForce(PlatformFleet &fleet, const std::vector<std::size_t> &proxies,
+               const std::string &database, std::chrono::milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    return std::all_of(proxies.begin(), proxies.end(), [&](std::size_t proxy) {
+        while (std::chrono::steady_clock::now() < end) {
+            try {
+                fleet.client(proxy, database);
+                return true;
+            } catch (const std::runtime_error &) {
+                std::this_thread::sleep_for(20ms); // The configuration isn't in force yet.
+            }
+        }
+        return false;
+    });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(processes)
@@ -224,6 +251,46 @@
     BOOST_CHECK_THROW(fleet.client(0, "third"), std::runtime_error);
 }
 
+// Guards against calls to the store that grow with the fleet, and against a configuration that is
+// late because the proxy that watches the store for others has stopped.
+BOOST_AUTO_TEST_CASE(two_proxies_watch_the_store_for_the_others)
+{
+    constexpr std::size_t size = 5;
+    const std::string watching = "shallotwalk_store_watching";
+    const std::string watches = "shallotwalk_store_calls_total{kind=\"watch\"}";
+    PlatformFleet fleet(size);
+    std::vector<std::size_t> watchers;
+    std::vector<std::size_t> followers;
+    const auto end = std::chrono::steady_clock::now() + 10s;
+    while (watchers.size() != 2 && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(100ms);
+        watchers.clear();
+        followers.clear();
+        for (std::size_t proxy = 0; proxy < size; ++proxy)
+            (metric(fleet, proxy, watching) == 1 ? watchers : followers).push_back(proxy);
+    }
+    BOOST_REQUIRE(watchers.size() == 2U);
+    std::this_thread::sleep_for(3s); // Watches from before end after 2 s.
+    std::vector<std::int64_t> before;
+    for (const auto proxy : followers)
+        before.push_back(metric(fleet, proxy, watches));
+    for (int version = 2; version < 6; ++version) {
+        const auto database = "added" + std::to_string(version);
+        fleet.configure(version, database);
+        BOOST_TEST(isInForce(fleet, followers, database, 3s));
+    }
+    for (std::size_t i = 0; i < followers.size(); ++i)
+        BOOST_TEST(metric(fleet, followers[i], watches) == before[i]);
+    ::kill(fleet.process(watchers[0]).pid(), SIGSTOP);
+    fleet.configure(6, "late");
+    BOOST_TEST(isInForce(fleet, followers, "late", 3s));
+    ::kill(fleet.process(watchers[1]).pid(), SIGKILL);
+    fleet.configure(7, "later");
+    BOOST_TEST(isInForce(fleet, followers, "later", 3s));
+    ::kill(fleet.process(watchers[0]).pid(), SIGCONT);
+    BOOST_TEST(isInForce(fleet, {watchers[0]}, "later", 3s));
+}
+
 // Guards against malformed entries by other writers that make the proxy miss the valid ones.
 BOOST_AUTO_TEST_CASE(bad_entries_in_the_store_are_ignored)
 {
