End a followed watch sooner, so that followers learn of a cut in time

Cause: a watcher that is cut off from the store notices when its watch doesn't end, after two thirds of the limit for configurations and a margin. Its followers, which may reach the store, began to watch it themselves only then; where both watchers of a data centre are cut off, that is after the limit of 3 s. Change: a watcher with followers lets the store hold its watch for a third of the limit.

--- a/src/core/store/directorysource.cpp
+++ b/src/core/store/directorysource.cpp
@@ -1,5 +1,9 @@
 #include "core/store/directorysource.h"
 
+#include "core/watcherselection.h"
+
+#include <algorithm>
+
 namespace shallotwalk {
 
 namespace {
@@ -12,6 +16,8 @@
 DirectorySourceSettings DirectorySourceSettings::within(Duration limit)
 {
     DirectorySourceSettings settings;
+    settings.watchWait = limit * 2 / 3;
+    settings.followedWatchWait = limit / 3;
     settings.holdTime = limit / 4;
     settings.role.heldAnswerLimit = settings.holdTime + answerMargin;
     settings.role.answerLimit = limit / 8;
@@ -24,6 +30,7 @@
 
 DirectorySource::DirectorySource(CandidateVm self, const DirectorySourceSettings &settings)
     : settings_(settings)
+    , dataCentre_(self.dataCentre)
     , role_(std::move(self), settings.role)
 {
 }
@@ -38,9 +45,20 @@
         members_.insert_or_assign(member.vm, member);
         reachable.push_back({member.vm, member.dataCentre});
     }
+    const auto local =
+        std::count_if(reachable.begin(), reachable.end(), [this](const CandidateVm &member) {
+            return member.dataCentre == dataCentre_;
+        });
+    hasFollowers_ = static_cast<std::size_t>(local) > watchersPerDataCentre;
     role_.updateMembers(reachable, {}, now);
 }
 
+Duration DirectorySource::watchWait() const
+{
+    const bool followed = hasFollowers_ && role_.mode() == FeedMode::Watcher;
+    return followed ? settings_.followedWatchWait : settings_.watchWait;
+}
+
 void DirectorySource::listed(std::span<const KeyValue> items, std::int64_t revision)
 {
     view_.loadRecords(items, revision);
--- a/src/core/store/directorysource.h
+++ b/src/core/store/directorysource.h
@@ -16,9 +16,14 @@
 struct DirectorySourceSettings
 {
     /// Times that let a configuration come into force within \a limit although the watcher of the
-    /// store that is asked, or both watchers of the data centre, have just died.
+    /// store that is asked, or both watchers of the data centre, have just died or been cut off.
     static DirectorySourceSettings within(Duration limit);
 
+    /// Longest time that the store may hold a watch without changes. Shorter than the limit, so
+    /// that a watch on a connection that has fallen silent ends first.
+    Duration watchWait{std::chrono::milliseconds(2000)};
+    /// The same on a watcher with followers, which need time to turn to another source.
+    Duration followedWatchWait{std::chrono::milliseconds(1000)};
     /// Time for which a watcher holds a request when it has nothing newer.
     Duration holdTime{std::chrono::milliseconds(1500)};
     FeedRoleSettings role;
@@ -70,6 +75,9 @@
     /// Returns when tick() or takeRequest() has something to do.
     TimePoint nextDue() const { return role_.nextDue(); }
 
+    /// Returns how long the store may hold this proxy's watch without changes.
+    Duration watchWait() const;
+
     /// Returns whether this proxy must watch the store.
     bool watchesStore() const { return role_.watchesStore(); }
 
@@ -86,11 +94,13 @@
 
 private:
     DirectorySourceSettings settings_;
+    std::string dataCentre_;
     FeedRole role_;
     FeedView view_;
     std::map<std::string, FleetMember, std::less<>> members_; ///< Those with an address.
     std::uint64_t lastRequest_ = 0;
     bool requestPending_ = false;
+    bool hasFollowers_ = false;   ///< The data centre has more proxies than watchers.
     bool heardConnected_ = false; ///< State of the watcher's watch as last heard.
 };
 
--- a/src/gateway/directoryactor.cpp
+++ b/src/gateway/directoryactor.cpp
@@ -171,7 +171,7 @@
 {
     lastWatchAt_ = context_.clock->now();
     const auto wait =
-        directory_.storeAvailable() ? context_.maxWatchWait : context_.watchWaitAfterFailure;
+        directory_.storeAvailable() ? source_->watchWait() : context_.watchWaitAfterFailure;
     auto call = context_.protocols.store->watch(watchedPrefix, source_->revision(), wait);
     call.timeout = wait + context_.watchAnswerMargin;
     this->call(
--- a/src/gateway/directoryactor.h
+++ b/src/gateway/directoryactor.h
@@ -27,12 +27,10 @@
     caf::actor exchange;    ///< Gets FleetChanged.
     std::shared_ptr<const Clock> clock;
     DirectorySourceSettings source;
-    /// Longest time that the store may hold a watch without changes. Shorter than the time in which
-    /// a new configuration must be in force, so that a watch without changes ends first.
-    Duration maxWatchWait{std::chrono::milliseconds(2000)};
-    /// The same after a failed call, so that it is soon known that the store answers again.
+    /// Longest time that the store may hold a watch after a failed call, so that it is soon known
+    /// that the store answers again.
     Duration watchWaitAfterFailure{std::chrono::milliseconds(200)};
-    /// Time beyond maxWatchWait for the answer to a watch to arrive.
+    /// Time beyond the wait for the answer to a watch to arrive.
     Duration watchAnswerMargin{std::chrono::milliseconds(700)};
     /// Timeout of all calls other than watches.
     Duration callTimeout{std::chrono::milliseconds(1000)};
--- a/src/gateway/gatewaytree.cpp
+++ b/src/gateway/gatewaytree.cpp
@@ -184,7 +184,6 @@
     ChildSpecification directory() const
     {
         DirectoryContext context;
-        context.maxWatchWait = settings_.configurationApplyLimit * 2 / 3;
         context.self = self();
         context.protocols = protocols_;
         context.watchCaller = relays_.watchCaller;
