--- a/tests/gateway/test_processes.cpp
+++ b/tests/gateway/test_processes.cpp
@@ -272,6 +272,7 @@
     BOOST_REQUIRE(watchers.size() == 2U);
     std::this_thread::sleep_for(3s); // Watches from before end after 2 s.
     std::vector<std::int64_t> before;
+    before.reserve(followers.size());
     for (const auto proxy : followers)
         before.push_back(metric(fleet, proxy, watches));
     for (int version = 2; version < 6; ++version) {
