Take a watcher's reply that comes after its time

Cause: a reply that arrives slowly, such as a large configuration on a slow link, was dropped once the other watcher had been chosen, and asked for again from the start. Change: its changes are taken whoever is asked by then; revisions keep them in the store's order. Result: directory_source/reply_that_comes_late_is_taken fails before and passes after.

--- a/src/core/store/directorysource.cpp
+++ b/src/core/store/directorysource.cpp
@@ -97,10 +97,8 @@
                                                 TimePoint now)
 {
     requestPending_ = false;
-    // The fleet may have changed since the request was sent.
-    if (vm != role_.source())
-        return {};
-    if (reply.answer != FeedAnswer::Refused)
+    // Another watcher may have been chosen since; what this one tells holds all the same.
+    if (vm == role_.source() && reply.answer != FeedAnswer::Refused)
         heardConnected_ = reply.answer == FeedAnswer::Watching;
     auto news = view_.take(reply).records;
     role_.answered(vm, reply.answer, now);
--- a/tests/sessions/test_directorysource.cpp
+++ b/tests/sessions/test_directorysource.cpp
@@ -326,6 +326,38 @@
         BOOST_TEST((!proxy.alive || proxy.known == expected));
 }
 
+// Guards against a large reply that is asked for again without end, because the time for the answer
+// ends before it has arrived whole.
+BOOST_AUTO_TEST_CASE(reply_that_comes_late_is_taken)
+{
+    std::vector<FleetMember> members;
+    for (int i = 0; i < 8; ++i)
+        members.push_back({"front-" + std::to_string(i), "nord", "10.0.0.1", 7440});
+    for (const auto &self : members) {
+        DirectorySource source({self.vm, "nord"}, DirectorySourceSettings::within(3s));
+        source.listed({}, 5);
+        source.setMembers(members, start);
+        const auto request = source.takeRequest(start);
+        if (!request)
+            continue; // A watcher.
+        source.tick(start + request->timeout);
+        BOOST_TEST(source.watcher() != request->watcher.vm);
+        FeedReply reply;
+        reply.id = request->request.id;
+        reply.answer = FeedAnswer::Watching;
+        reply.records.changes = {{{"op/config", "large", 6}, false}};
+        reply.records.next = {0, 6, 0};
+        const auto news = source.answered(request->watcher.vm, reply, start + 2s);
+        BOOST_TEST(news.size() == 1U);
+        BOOST_TEST(source.revision() == 6);
+        // The other watcher is asked next, from there on.
+        const auto next = source.takeRequest(start + 2s);
+        BOOST_REQUIRE(next.has_value());
+        BOOST_TEST(next->watcher.vm == source.watcher());
+        BOOST_TEST(next->request.records.revision == 6);
+    }
+}
+
 // Guards against a proxy that asks one without an address, such as one of an older version, or that
 // waits for others although it is alone.
 BOOST_AUTO_TEST_CASE(proxy_without_others_to_ask_watches_the_store)
