Answer a statement whose group has ended

Cause: a session that waited for a group which then failed got no answer until its client left, and its open transaction went on to a group that no longer existed. Change: when the routing no longer holds the session's group, the statement is answered: INDOUBT for a commit or a single write, which may have run, else ABORTED, since the servers roll back what the group's connections had open. Result: session_listener/statement_whose_group_has_ended_is_answered and transaction_whose_group_has_ended_fails fail before and pass after.

--- a/src/gateway/sessionactor.cpp
+++ b/src/gateway/sessionactor.cpp
@@ -1,7 +1,10 @@
 #include "gateway/sessionactor.h"
 
+#include "core/lostrequest.h"
+
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <atomic>
 
 namespace shallotwalk {
@@ -50,11 +53,7 @@
         },
         [this](const caf::io::connection_closed_msg &) { close(); },
         [this](StatementFinished &message) { handleFinished(message); },
-        [this](const RoutingChanged &message) {
-            routing_ = message.routing;
-            if (pendingOpening_ && routing_->router)
-                open(*std::exchange(pendingOpening_, std::nullopt));
-        },
+        [this](const RoutingChanged &message) { updateRouting(message); },
         [this](CheckOpening) {
             if (!session_)
                 refuseAndClose(AnswerCode::Malformed, "the session was not opened in time");
@@ -74,6 +73,27 @@
     };
 }
 
+void SessionActor::updateRouting(const RoutingChanged &message)
+{
+    routing_ = message.routing;
+    if (pendingOpening_ && routing_->router)
+        open(*std::exchange(pendingOpening_, std::nullopt));
+    const auto &groups = routing_->groups;
+    const bool groupEnded =
+        group_ && std::none_of(groups.begin(), groups.end(), [this](const auto &entry) {
+            return entry.second == group_;
+        });
+    if (!groupEnded)
+        return;
+    group_ = nullptr;
+    if (pendingRequest_ == 0)
+        return;
+    spdlog::warn("event=statement_lost session={} outcome={} reason=\"its group has ended\"",
+                 number_, toString(*lostOutcome_.answer.error));
+    StatementFinished lost{pendingRequest_, std::move(lostOutcome_)};
+    handleFinished(lost);
+}
+
 void SessionActor::serveNext()
 {
     while (!closed_ && pendingRequest_ == 0 && !pendingOpening_) {
@@ -157,6 +177,7 @@
         handleFinished(failed);
         return;
     }
+    lostOutcome_ = outcomeOfLostRequest(*step.request);
     self_->send(group_, RunStatement{std::move(*step.request)});
 }
 
--- a/src/gateway/sessionactor.h
+++ b/src/gateway/sessionactor.h
@@ -51,6 +51,7 @@
     void handleStatement(SessionStatement statement);
     void handleInvalid(const InvalidMessage &invalid);
     void handleFinished(StatementFinished &message);
+    void updateRouting(const RoutingChanged &message);
     void send(const SessionAnswer &answer);
     void refuseAndClose(AnswerCode code, std::string_view text);
     void write(const std::string &bytes);
@@ -67,6 +68,7 @@
     std::optional<SessionOpening> pendingOpening_; ///< Opening that awaits the first configuration.
     std::unique_ptr<ClientSession> session_;
     RequestNumber pendingRequest_ = 0; ///< Request that awaits StatementFinished; 0: none.
+    GroupAnswer lostOutcome_;          ///< Outcome of that request if its group ends.
     caf::actor group_;                 ///< Group of the last request and of the open transaction.
     bool closeWhenIdle_ = false;       ///< CloseIdleSessions was received.
     bool closeWhenAnswered_ = false;   ///< CloseAllSessions was received.
--- a/tests/gatewayactors/test_sessionlistener.cpp
+++ b/tests/gatewayactors/test_sessionlistener.cpp
@@ -36,9 +36,7 @@
         Pool pool;
         pool.name = "bookings";
         tables->pools = {pool};
-        auto routing = std::make_shared<SessionRouting>();
-        routing->router = std::make_shared<const Router>(tables);
-        routing->groups = {{"bookings", self}};
+        router = std::make_shared<const Router>(tables);
 
         auto context = std::make_shared<SessionContext>();
         context->protocols = platform::protocols();
@@ -51,7 +49,7 @@
             std::shared_ptr<const SessionContext>(std::move(context)), caf::actor(self),
             caf::actor(self));
         self->receive([](RoutingRequest) {});
-        self->send(listener, RoutingChanged{std::move(routing)});
+        publishGroups({{"bookings", self}});
         client = boost::leaf::try_handle_all(
             [&] { return TcpStream::connect("127.0.0.1", settings.port, clock->now() + 5s); },
             [] { return TcpStream(); });
@@ -66,6 +64,15 @@
         self->wait_for(listener);
     }
 
+    void publishGroups(std::map<std::string, caf::actor, std::less<>> groups)
+    {
+        auto routing = std::make_shared<SessionRouting>();
+        routing->router = router;
+        routing->groups = std::move(groups);
+        self->send(listener, RoutingChanged{std::move(routing)});
+        std::this_thread::sleep_for(200ms); // The listener passes it on to the session.
+    }
+
     void send(std::string_view text)
     {
         boost::leaf::try_handle_all([&] { return client.writeAll(text, clock->now() + 5s); },
@@ -114,6 +121,7 @@
     caf::actor_system system;
     caf::scoped_actor self;
     std::shared_ptr<const Clock> clock = std::make_shared<BootClock>();
+    std::shared_ptr<const Router> router;
     caf::actor listener;
     caf::actor session;
     TcpStream client;
@@ -160,4 +168,41 @@
     BOOST_TEST(receiveUntil("anything") == "");
 }
 
+// Guards against a client that waits for good because the group of its statement has failed, and
+// against a promise that nothing was kept where a write may have run.
+BOOST_AUTO_TEST_CASE(statement_whose_group_has_ended_is_answered)
+{
+    const std::pair<const char *, const char *> statements[] = {{"WRITE item data", "ERR INDOUBT"},
+                                                                {"READ item", "ERR ABORTED"}};
+    for (const auto &[statement, answer] : statements) {
+        send(std::string("QUERY q1 ") + statement + "\r\n");
+        takeRequest();
+        publishGroups({});
+        const auto text = receiveUntil("READY I");
+        BOOST_TEST(text.find(answer) != std::string::npos);
+        // The group has been started again.
+        publishGroups({{"bookings", self}});
+    }
+    send("QUERY q2 READ item\r\n");
+    finish(takeRequest(), TransactionState::None);
+    BOOST_TEST(receiveUntil("READY").find("DONE signature") != std::string::npos);
+}
+
+// Guards against a transaction that goes on at a group which doesn't know it, or that is lost
+// without a word to its client.
+BOOST_AUTO_TEST_CASE(transaction_whose_group_has_ended_fails)
+{
+    send("QUERY q1 BEGIN\r\n");
+    BOOST_REQUIRE(receiveUntil("READY T") != "");
+    send("QUERY q2 WRITE item data\r\n");
+    takeRequest();
+    publishGroups({});
+    const auto text = receiveUntil("READY E");
+    BOOST_TEST(text.find("ERR ABORTED") != std::string::npos);
+    BOOST_TEST(text.find("READY E") != std::string::npos);
+    publishGroups({{"bookings", self}});
+    send("QUERY q3 COMMIT\r\n");
+    BOOST_TEST(receiveUntil("READY I").find("ERR ABORTED") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
