--- a/src/core/groupscheduler.cpp
+++ b/src/core/groupscheduler.cpp
@@ -126,35 +126,6 @@
     return Duration(static_cast<Duration::rep>(response * factor)) + opening;
 }
 
-/// The earliest time at which a request could be sent to a server.
-TimePoint GroupScheduler::earliestStart(const ServerLink &link, TimePoint now) const
-{
-    if (link.openConnections() > 0)
-        return now;
-    return std::max(now, link.budget.retryAt(link.registration.id));
-}
-
-/// Whether a connection to a server can be open when half of the time to \a deadline is left; the
-/// admission policy bounds the wait for an open connection in the same way.
-bool GroupScheduler::opensInTime(const ServerLink &link, TimePoint deadline, TimePoint now) const
-{
-    if (link.openConnections() > 0 || keepsConnections())
-        return true;
-    const auto wait = earliestStart(link, now) - now + link.openingTime;
-    return 2 * wait < deadline - now;
-}
-
-/// The earliest time at which a request could be sent to any server.
-TimePoint GroupScheduler::earliestStart(TimePoint now) const
-{
-    auto earliest = TimePoint::max();
-    for (const auto &[number, link] : servers_) {
-        if (usable(link, now))
-            earliest = std::min(earliest, earliestStart(link, now));
-    }
-    return earliest;
-}
-
 bool GroupScheduler::enqueue(Pending &pending, ServerNumber number, TimePoint now)
 {
     auto &link = servers_.at(number);
--- a/src/core/groupscheduler_connections.cpp
+++ b/src/core/groupscheduler_connections.cpp
@@ -112,4 +112,33 @@
         openConnection(number, opening->id, now);
 }
 
+/// The earliest time at which a request could be sent to a server.
+TimePoint GroupScheduler::earliestStart(const ServerLink &link, TimePoint now) const
+{
+    if (link.openConnections() > 0)
+        return now;
+    return std::max(now, link.budget.retryAt(link.registration.id));
+}
+
+/// Whether a connection to a server can be open when half of the time to \a deadline is left; the
+/// admission policy bounds the wait for an open connection in the same way.
+bool GroupScheduler::opensInTime(const ServerLink &link, TimePoint deadline, TimePoint now) const
+{
+    if (link.openConnections() > 0 || keepsConnections())
+        return true;
+    const auto wait = earliestStart(link, now) - now + link.openingTime;
+    return 2 * wait < deadline - now;
+}
+
+/// The earliest time at which a request could be sent to any server.
+TimePoint GroupScheduler::earliestStart(TimePoint now) const
+{
+    auto earliest = TimePoint::max();
+    for (const auto &[number, link] : servers_) {
+        if (usable(link, now))
+            earliest = std::min(earliest, earliestStart(link, now));
+    }
+    return earliest;
+}
+
 } // namespace shallotwalk
