--- a/tests/sessions/test_directorysource.cpp
+++ b/tests/sessions/test_directorysource.cpp
@@ -331,6 +331,7 @@
 BOOST_AUTO_TEST_CASE(reply_that_comes_late_is_taken)
 {
     std::vector<FleetMember> members;
+    members.reserve(8);
     for (int i = 0; i < 8; ++i)
         members.push_back({"front-" + std::to_string(i), "nord", "10.0.0.1", 7440});
     for (const auto &self : members) {
