Leave the outages of watchers to the proxies that follow them

Cause: a proxy that watches the store itself because its watchers have lost it took their loss for an outage of the store at each of their replies, so that it kept servers that had gone and asked the store more often. Change: a watcher's loss counts only for a proxy that doesn't watch the store. Result: directory_actor/outage_of_the_watchers_is_none_of_a_proxy_that_watches_itself fails before and passes after.

--- a/src/gateway/directoryactor_source.cpp
+++ b/src/gateway/directoryactor_source.cpp
@@ -106,10 +106,10 @@
     const auto now = context_.clock->now();
     const auto news = source_->answered(watcher, reply, now);
     // What the watcher knows of the store decides whether missing entries are kept, so it comes
-    // before the changes.
+    // before the changes. A watch of this proxy's own shows more than that of a watcher.
     if (reply.answer == FeedAnswer::Watching)
         handleStoreAnswer();
-    else if (reply.answer == FeedAnswer::WatchLost)
+    else if (reply.answer == FeedAnswer::WatchLost && !watching_)
         handleStoreFailure("feed", "the watcher has lost its watch");
     applyNews(news);
     publish();
