Add a review case: commits that wait are taken for a failed primary

Cause: waiting for the confirmation of a replica counts as silence of the primary, and a replica that is gone no longer counts among those that may hold commits. Change: review/3; the other cases are renumbered, the gravest first. The stand-in no longer refuses a write whose outcome it doesn't know, and a replica can come back.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,5 @@
-"""LOST: a planned replacement of the primary promotes a replica that lacks acknowledged commits.
-See claim.txt."""
+"""LOST: a database that joins while the primary is being replaced confirms commits that the promoted
+database lacks. See claim.txt."""
 
 import asyncio
 import os
@@ -8,33 +8,16 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin"))
 import platform_standin as standin
 
-PROXIES = 2
-READERS = int(os.environ.get("READERS", "2"))  # Clients with transactions at each proxy.
+PROXIES = 4
+GAP_S = 1.0  # Between two databases of a release.
+PROMOTE_S = 1.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HERE = os.path.dirname(os.path.abspath(__file__))
 
 
-async def hold_transaction(deployment, name, port, busy, stop):
-    """A client of the route slot-lookup with read-only transactions: 12 statements with pauses
-    where they run on the database busy, a single one elsewhere."""
-    client = standin.Client(deployment.record, name, port)
-    if not await client.open("slot-lookup"):
-        return
-    while not stop.is_set():
-        await client.query("BEGIN READ")
-        for _ in range(12):
-            number, answer = await client.query("READ item-1")
-            if not standin.is_success(answer) or deployment.group.ran[number] != busy or stop.is_set():
-                break
-            await asyncio.sleep(0.9)
-        await client.query("COMMIT")
-        await asyncio.sleep(0.05)
-    client.close()
-
-
 async def write(deployment, port, acknowledged, stop):
     """A client of the route booking: single writes, one after the other."""
-    client = standin.Client(deployment.record, "writer", port)
+    client = standin.Client(deployment.record, "writer-%d" % port, port)
     if not await client.open("booking"):
         return
     count = 0
@@ -50,10 +33,11 @@
 
 
 async def run(temporary):
-    deployment = standin.Deployment(HERE, temporary, PROXIES, ["nord-a", "centre-a"], 1)
+    deployment = standin.Deployment(HERE, temporary, PROXIES, ["nord-a", "centre-a", "sud-a"], 1)
     record = deployment.record
     await deployment.start()
     group = deployment.group
+    group.promote_s = PROMOTE_S
     stop = asyncio.Event()
     acknowledged = []
     tasks = []
@@ -64,20 +48,14 @@
                 return 2
         for front, _ in deployment.ports:
             tasks.append(asyncio.ensure_future(write(deployment, front, acknowledged, stop)))
-        await asyncio.sleep(0.3)
-        busy = group.replicas()[0].id
-        for front, _ in deployment.ports:
-            for _ in range(READERS):
-                name = "reader-%d" % len(tasks)
-                tasks.append(asyncio.ensure_future(
-                    hold_transaction(deployment, name, front, busy, stop)))
-        await asyncio.sleep(3)
-        # The planned replacement: the new database starts first, the old one drains 3 s later.
-        if TROUBLE:
-            await group.add("i-4")
-        await asyncio.sleep(3)
+        await asyncio.sleep(6)
+        # The databases are replaced one after the other: the new one starts first, the old one
+        # drains. The primary is the first of them.
         if TROUBLE:
-            await group.drain(group.primary())
+            for old, new in (("i-1", "i-4"), ("i-2", "i-5")):
+                await group.add(new)
+                await group.drain(group.databases[old])
+                await asyncio.sleep(GAP_S)
         await asyncio.sleep(6)
         stop.set()
         await asyncio.wait(tasks, timeout=5)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,5 @@
-"""LOST: a database that joins while the primary is being replaced confirms commits that the promoted
-database lacks. See claim.txt."""
+"""LOST: commits that wait for a replica are taken for a failure of the primary, and a replica that is
+behind is promoted. See claim.txt."""
 
 import asyncio
 import os
@@ -9,8 +9,11 @@
 import platform_standin as standin
 
 PROXIES = 4
-GAP_S = 1.0  # Between two databases of a release.
+WRITERS = 4  # At each proxy.
+DEAF_S = 6.5
+DARK_S = 7.0
 PROMOTE_S = 1.0
+QUIET_S = 4  # Before the traffic; idle replicas report their state meanwhile.
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HERE = os.path.dirname(os.path.abspath(__file__))
 
@@ -32,6 +35,17 @@
     client.close()
 
 
+async def read(deployment, port, stop):
+    """A client of the route slot-lookup: single reads, one after the other."""
+    client = standin.Client(deployment.record, "reader-%d" % port, port)
+    if not await client.open("slot-lookup"):
+        return
+    while not stop.is_set():
+        await client.query("READ item-1")
+        await asyncio.sleep(0.05)
+    client.close()
+
+
 async def run(temporary):
     deployment = standin.Deployment(HERE, temporary, PROXIES, ["nord-a", "centre-a", "sud-a"], 1)
     record = deployment.record
@@ -46,17 +60,24 @@
         for number in range(PROXIES):
             if not await deployment.wait_ready(number):
                 return 2
+        await asyncio.sleep(QUIET_S)
         for front, _ in deployment.ports:
-            tasks.append(asyncio.ensure_future(write(deployment, front, acknowledged, stop)))
-        await asyncio.sleep(6)
-        # The databases are replaced one after the other: the new one starts first, the old one
-        # drains. The primary is the first of them.
+            for _ in range(WRITERS):
+                tasks.append(asyncio.ensure_future(write(deployment, front, acknowledged, stop)))
+            tasks.append(asyncio.ensure_future(read(deployment, front, stop)))
+        await asyncio.sleep(4)
+        confirming, behind = group.replicas()
+        if TROUBLE:
+            record("deaf", db=behind.id)
+            behind.deaf = True
+            await asyncio.sleep(1)
+            await group.crash(confirming)
+        await asyncio.sleep(DEAF_S - 1)
+        behind.deaf = False
+        await asyncio.sleep(DARK_S - DEAF_S + 1)
         if TROUBLE:
-            for old, new in (("i-1", "i-4"), ("i-2", "i-5")):
-                await group.add(new)
-                await group.drain(group.databases[old])
-                await asyncio.sleep(GAP_S)
-        await asyncio.sleep(6)
+            await group.revive(confirming)
+        await asyncio.sleep(3)
         stop.set()
         await asyncio.wait(tasks, timeout=5)
         if len(acknowledged) < 20:
--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -428,7 +428,7 @@
             "state": "draining" if database.draining else "ready",
             "cold_left_ms": 0,
             "db_role": "primary" if database.primary else "replica",
-            "born": self.born,
+            "born": getattr(database, "born", self.born),
             "seq_no": 1,
         }
         await self.store.put("servers/" + database.id, json.dumps(entry).encode())
@@ -440,10 +440,27 @@
         async def expire():
             # The entry is removed after three heartbeat intervals of silence.
             await asyncio.sleep(3 * HEARTBEAT_S)
-            await self.store.erase("servers/" + database.id)
+            if database.crashed:
+                await self.store.erase("servers/" + database.id)
 
         asyncio.ensure_future(expire())
 
+    async def revive(self, database):
+        """A replica comes back with its log, without what a promotion has rolled back."""
+        log = self.primary().log
+        same = 0
+        while same < min(len(log), len(database.log)) and log[same] == database.log[same]:
+            same += 1
+        database.log = log[:]
+        database.applied = len(log)
+        database.term = self.term
+        database.paused_until = 0
+        database.crashed = False
+        database.born = int(time.time() * 1000)
+        self.record("back", db=database.id, kept=same)
+        await database.start()
+        await self.register(database)
+
     def receive(self, replica, upto):
         """Passes the primary's log up to \a upto to a replica, unless it receives nothing."""
         primary = self.primary()
@@ -466,7 +483,8 @@
         await asyncio.sleep(RECEIVE_S)
         while True:
             if database.crashed or self.term != term:
-                return False
+                # Whether the commit is kept is unknown here, so nothing is answered.
+                raise ConnectionResetError
             received = sum(self.receive(r, upto) for r in self.replicas())
             if received >= self.sync_replicas:
                 return True
