--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -718,4 +718,6 @@
         except (Exception, asyncio.CancelledError) as error:
             print("the case could not run:", repr(error))
             code = 2
-    sys.exit(code)
+    # Sockets that are still referenced would complain about the closed event loop.
+    sys.stdout.flush()
+    os._exit(code)
