--- a/review/4/case.py
+++ b/review/4/case.py
@@ -38,11 +38,18 @@
                 record("answer", lines=await client.read_answer(0.5))
             except (asyncio.TimeoutError, asyncio.IncompleteReadError):
                 break
+        # An ordinary write whose data has two lines.
+        client = standin.Client(record, "client", deployment.ports[0][0])
+        if not await client.open("booking"):
+            return 2
+        lines = "WRITE item-2 two%slines" % separator
+        number, answer = await client.query(lines)
+        ran = group.texts.get(number)
         log = [row[2:] for row in group.primary().log]
-        record("verdict", inner=inner, ran=inner in group.ran, log=log)
-        print("the database ran the statement inside the statement: %s; its log: %s"
-              % (inner in group.ran, [" ".join(row) for row in log]))
-        return 1 if inner in group.ran else 0
+        record("verdict", inner=inner, ran=inner in group.ran, sent=lines, text=ran, log=log)
+        print("the database ran the statement inside the statement: %s" % (inner in group.ran))
+        print("sent: %r; run: %r; answer: %r" % (lines, ran, answer))
+        return 1 if inner in group.ran or (ran is not None and ran != lines) else 0
     finally:
         await deployment.stop()
 
--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -365,6 +365,7 @@
     def success(self, session, number, text):
         signature = secrets.token_hex(8)
         self.group.ran[number] = self.id
+        self.group.texts[number] = text
         self.group.record("run", db=self.id, by=session.name, id=number, text=text, signature=signature)
         return "DONE %s\r\n%s" % (signature, self.ready(session))
 
@@ -389,6 +390,7 @@
         self.next_leader = None
         self.promote_s = PROMOTE_S
         self.promoted = []
+        self.texts = {}  # Id of a statement that ran, and its text without AFTER.
         self.ran = {}  # Id of a statement that ran, and the database.
         self.born = int(time.time() * 1000)
         store.promote = self.promote
