--- a/tests/adapter/test_lineprotocol.cpp
+++ b/tests/adapter/test_lineprotocol.cpp
@@ -106,6 +106,62 @@
     BOOST_TEST((invalid.code == AnswerCode::TooBig));
 }
 
+// Guards against a statement that is smuggled inside another one: a line feed within the text ended
+// the message, and the rest ran as a message of its own.
+BOOST_AUTO_TEST_CASE(only_cr_lf_ends_a_client_message)
+{
+    using namespace std::string_view_literals;
+    for (const auto text : {"item-1\nQUERY a2 WRITE item-1 second"sv,
+                            "item-1\rQUERY a2 WRITE item-1 second"sv, "item-1 two\n\rlines"sv,
+                            "item-1 ends with\n"sv, "item-1 ends with\r"sv, "item-1\0second"sv}) {
+        const auto bytes = "QUERY a1 WRITE " + std::string(text) + "\r\nQUERY a3 READ item-2\r\n";
+        for (const std::size_t chunk : {std::size_t{1}, std::size_t{7}, bytes.size()}) {
+            const auto messages = decodeClient(bytes, chunk);
+            BOOST_REQUIRE(messages.size() == 2);
+            BOOST_TEST(statement(messages[0]).id == "a1");
+            BOOST_TEST(statement(messages[0]).text == text);
+            BOOST_TEST(statement(messages[1]).id == "a3");
+        }
+    }
+    BOOST_TEST(decodeClient("QUERY a1 READ item-1\n").empty());
+}
+
+// Guards against a line feed in a statement that is lost or doubled on the way to the server.
+BOOST_AUTO_TEST_CASE(text_with_line_feeds_is_forwarded_unchanged)
+{
+    const auto messages = decodeClient("QUERY a1 WRITE item-1 two\nlines\rand more\r\n");
+    BOOST_REQUIRE(messages.size() == 1);
+    ServerCommand command{CommandKind::Write, statement(messages[0]).id};
+    command.text = statement(messages[0]).text;
+    BOOST_TEST(encodeCommand(command) == "QUERY a1 WRITE item-1 two\nlines\rand more\r\n");
+}
+
+// Guards against an answer with other rows: a line feed in the data of a row split the row.
+BOOST_AUTO_TEST_CASE(only_cr_lf_ends_a_line_of_a_server)
+{
+    const auto messages =
+        decodeServer("READY I -\r\n"
+                     "ROW two\nREADY I -\rlines\r\nDONE 7.1f3\r\nREADY I 3.7\r\n");
+    BOOST_REQUIRE(messages.size() == 2);
+    const auto &read = std::get<ServerReply>(messages[1]);
+    BOOST_REQUIRE(read.rows.size() == 1);
+    BOOST_TEST(read.rows[0] == "two\nREADY I -\rlines");
+    BOOST_TEST(read.signature == "7.1f3");
+}
+
+// Guards against a message over the limit that passes because its end arrives in the same read as
+// the bytes beyond the limit.
+BOOST_AUTO_TEST_CASE(limit_of_a_message_counts_its_end)
+{
+    const std::string head = "QUERY a1 WRITE ";
+    const auto longest = head + std::string(maxMessageBytes - head.size() - 2, 'x') + "\r\n";
+    BOOST_REQUIRE(decodeClient(longest).size() == 1);
+    BOOST_TEST(std::holds_alternative<SessionStatement>(decodeClient(longest)[0]));
+    const auto messages = decodeClient(head + std::string(maxMessageBytes, 'x') + "\r\n");
+    BOOST_REQUIRE(messages.size() == 1);
+    BOOST_TEST((std::get<InvalidMessage>(messages[0]).code == AnswerCode::TooBig));
+}
+
 BOOST_AUTO_TEST_CASE(replies_of_servers_are_decoded)
 {
     const auto messages = decodeServer("READY I 3.1207\r\n"
--- a/tests/gateway/test_processes.cpp
+++ b/tests/gateway/test_processes.cpp
@@ -117,6 +117,19 @@
     BOOST_TEST(other->query("EXEC s1 round").error.starts_with("NOSTMT"));
 }
 
+// Guards against a message that ends at a line feed: its rest ran as a message of its own, and data
+// of two lines was cut and acknowledged.
+BOOST_AUTO_TEST_CASE(line_feed_in_a_statement_ends_no_message)
+{
+    PlatformFleet fleet(1);
+    const auto client = fleet.client(0, "rounds");
+    BOOST_TEST(client->query("WRITE round first").ok());
+    client->query("READ round\nQUERY smuggled WRITE round second");
+    BOOST_TEST(client->query("READ round").rows.at(0) == "first");
+    BOOST_TEST(client->query("WRITE round two\nlines").ok());
+    BOOST_TEST(client->query("READ round").rows.at(0) == "two\nlines");
+}
+
 BOOST_AUTO_TEST_CASE(unknown_database_is_refused)
 {
     PlatformFleet fleet(1);
--- a/tests/wire/test_http.cpp
+++ b/tests/wire/test_http.cpp
@@ -60,6 +60,20 @@
     BOOST_TEST(statement->parameters.at(0).value() == "x");
 }
 
+// Guards against a request that is smuggled inside another one, by a line feed that one reader
+// takes for the end of a line and another doesn't.
+BOOST_AUTO_TEST_CASE(only_cr_lf_ends_a_line_of_a_request)
+{
+    for (const std::string_view text :
+         {"GET /metrics HTTP/1.1\nHost: proxy\n\n", "GET /metrics HTTP/1.1\r\nHost: proxy\n\r\n",
+          "GET /metrics HTTP/1.1\r\nHost: a\rb\r\n\r\n",
+          "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\n12345\r\n0\r\n\r\n"}) {
+        HttpRequestParser parser;
+        parser.append(bytes(text));
+        BOOST_TEST(!parser.next().has_value(), text);
+    }
+}
+
 // Guards against pipelined requests that are lost or answered out of order.
 BOOST_AUTO_TEST_CASE(pipelined_requests_come_one_by_one)
 {
