--- a/src/core/directory.h
+++ b/src/core/directory.h
@@ -37,6 +37,9 @@
     /// forked.
     Position position;
     std::int64_t revision = 0;
+    /// Newest term when the server was chosen. The promotion ends it: a commit of this term beyond
+    /// \c position is rolled back.
+    Term endedTerm = 0;
 
     bool operator==(const PromotionRecord &) const = default;
 };
--- a/src/core/groupport.h
+++ b/src/core/groupport.h
@@ -27,6 +27,7 @@
     std::string server; ///< Becomes the primary.
     Position position;  ///< End of the server's log, as last reported.
     std::string reason; ///< Why the primary is replaced, for logs.
+    Term endedTerm = 0; ///< See PromotionRecord::endedTerm.
 
     bool operator==(const PromotionChoice &) const = default;
 };
@@ -69,6 +70,10 @@
     /// to serve. An empty \a server stands for a group without a known primary.
     virtual void reportSuspicion(std::string_view server, bool suspected) = 0;
 
+    /// Reports, for logs, that \a server, the primary, has answered a demotion. Its log ended at
+    /// \a position; unless it was \a demoted, it still is the primary.
+    virtual void primaryDemoted(std::string_view server, bool demoted, Position position) = 0;
+
     /// Requests a promotion. The outcome is reported with GroupScheduler::promotionSeen() or
     /// promotionFailed().
     virtual void orderPromotion(const PromotionChoice &choice) = 0;
--- a/src/core/groupscheduler.cpp
+++ b/src/core/groupscheduler.cpp
@@ -75,7 +75,7 @@
     if (!pending.requiredPosition)
         pending.needsPrimary = true;
     updatePrimaryAvailability(now);
-    if (pending.needsPrimary && primaryUnavailableSince_) {
+    if (pending.needsPrimary && (primaryUnavailableSince_ || writesMustWait(request))) {
         awaitServer(pending, now);
         return;
     }
@@ -147,7 +147,7 @@
     auto capacity = link.capacity();
     capacity.total = std::max<std::uint32_t>(capacity.total, 1);
     if (mayBurst(link, now))
-        capacity.total += allotment_.burst - link.connections.size();
+        capacity.total += allotment_.burst - link.requestConnections();
     if (link.policy->submit(item, capacity, now))
         return false;
     pending.stage = Pending::Stage::Queued;
--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -146,7 +146,7 @@
     const std::string &lastConnectionError() const { return lastConnectionError_; }
 
     /// Returns the term for which replicas must pause before a promotion; 0 if they need not.
-    Term pauseTerm() const { return pauseWanted_ ? newestTerm() + 1 : 0; }
+    Term pauseTerm() const { return pauseTerm_; }
 
     const GroupCounters &counters() const { return counters_; }
     const std::map<std::uint32_t, ServerLink> &servers() const { return servers_; }
@@ -157,6 +157,9 @@
 private:
     using ServerNumber = std::uint32_t;
 
+    /// Ids of control connections, which no budget counts, begin here.
+    static constexpr ConnectionId firstControlConnection = ConnectionId{1} << 32;
+
     struct Pending
     {
         enum class Stage { Queued, Running, AwaitingServer };
@@ -212,9 +215,11 @@
     void handleStatement(ServerConnectionKey key, ServerReply reply, TimePoint sentAt,
                          TimePoint now);
     void handleReport(ServerLink &link, const ServerReply &reply, TimePoint now);
+    void handleDemotion(ServerLink &link, const ServerReply &reply, TimePoint now);
     void resumeReplica(ServerNumber number, TimePoint now);
     void discardReply(ServerConnectionKey key, const ServerReply &reply, TimePoint now);
     void handleSuccess(ServerConnectionKey key, Pending &pending, ServerReply reply, TimePoint now);
+    void withholdCommit(ServerConnectionKey key, Pending &pending, TimePoint now);
     void handleError(ServerConnectionKey key, Pending &pending, AnswerCode code,
                      const ServerReply &reply, TimePoint now);
     void recordError(ServerConnectionKey key, const Pending &pending, AnswerCode code,
@@ -259,6 +264,13 @@
     void closeSurplusConnections(ServerNumber number, TimePoint now);
     void keepConnected(ServerNumber number, TimePoint now);
     void reviewPrimary(TimePoint now);
+    /// Whether a recorded promotion of another server may still end the term of \a link.
+    bool supersededByOrder(const ServerLink &link) const;
+    /// Whether a commit of \a link that ended at \a position is lost by a recorded promotion.
+    bool mayBeRolledBack(const ServerLink &link, Position position) const;
+    /// Whether writes must wait for the end of a promotion.
+    bool writesMustWait(const GroupRequest &request) const;
+    void wantDemotion(bool wanted, TimePoint now);
     void clearSuspicion();
     void reportSuspicion(bool suspected, TimePoint now);
     void updateAgreement();
@@ -273,6 +285,8 @@
 
     bool sendBehindStatement(ServerNumber number, const ServerCommand &command, ExpectedReply kind,
                              TimePoint now);
+    bool sendOnControlConnection(ServerNumber number, const ServerCommand &command,
+                                 ExpectedReply kind, TimePoint now);
     void moveFromSilentServer(ServerNumber number, TimePoint now);
 
     void expireRequests(TimePoint now);
@@ -283,6 +297,7 @@
     ConnectionAllotment allotment_;
     std::map<ServerNumber, ServerLink> servers_;
     ServerNumber nextServer_ = 1;
+    ConnectionId nextControlConnection_ = firstControlConnection;
     Requests requests_;
     std::unordered_map<SessionNumber, Transaction> transactions_;
     std::vector<RequestNumber>
@@ -291,7 +306,7 @@
     WatermarkSharing sharing_;
     PromotionPlanner planner_;
     std::uint32_t confirmReplicas_ = 0;
-    bool pauseWanted_ = false;                     ///< Replicas must pause before a promotion.
+    Term pauseTerm_ = 0;                           ///< See pauseTerm().
     std::optional<PromotionRecord> lastPromotion_; ///< Record with the highest revision.
     bool primarySuspected_ = false;
     std::string suspicion_;
--- a/src/core/groupscheduler_connections.cpp
+++ b/src/core/groupscheduler_connections.cpp
@@ -10,6 +10,9 @@
 /// may need it more.
 constexpr Duration idleBurstLimit = std::chrono::milliseconds(300);
 
+/// Idle time after which a control connection is closed.
+constexpr Duration idleControlLimit = std::chrono::milliseconds(1000);
+
 } // namespace
 
 bool GroupScheduler::reachable(const ServerLink &link, TimePoint now) const
@@ -40,8 +43,15 @@
         limit = monitored(*link, now) ? 1 : 0;
     const std::size_t kept = keepsConnections() ? 1 : 0;
     std::vector<ConnectionId> closed;
+    std::vector<ConnectionId> closedControl;
     for (const auto &[id, connection] : link->connections) {
-        const auto remaining = link->connections.size() - closed.size();
+        if (connection.control) {
+            const bool unused = connection.open && connection.outstanding.empty();
+            if (unused && (limit == 0 || now - connection.lastUsed >= idleControlLimit))
+                closedControl.push_back(id);
+            continue;
+        }
+        const auto remaining = link->requestConnections() - closed.size();
         const bool surplus = remaining > limit;
         const auto idleLimit = remaining > allotment_.share
                                    ? std::min(idleBurstLimit, allotment_.idleLimit)
@@ -51,6 +61,7 @@
         if (connection.idle() && link->budget.take(id))
             closed.push_back(id);
     }
+    closed.insert(closed.end(), closedControl.begin(), closedControl.end());
     for (const auto id : closed) {
         port_.closeConnection({number, id});
         link->connections.erase(id);
@@ -62,7 +73,7 @@
 
 bool GroupScheduler::mayBurst(const ServerLink &link, TimePoint now) const
 {
-    return allotment_.burst > link.connections.size() && now >= link.burstRefusedUntil;
+    return allotment_.burst > link.requestConnections() && now >= link.burstRefusedUntil;
 }
 
 std::size_t GroupScheduler::connectionLimit(const ServerLink &link, TimePoint now) const
@@ -105,7 +116,7 @@
     // requests until it answers.
     const bool wanted =
         keepsConnections() || link->failing() || link->silence(now) > Duration::zero();
-    if (!wanted || !link->connections.empty() || !monitored(*link, now))
+    if (!wanted || link->requestConnections() > 0 || !monitored(*link, now))
         return;
     const auto step = link->budget.acquire(link->registration.id, now);
     if (const auto *opening = std::get_if<OpenConnection>(&step))
--- a/src/core/groupscheduler_replies.cpp
+++ b/src/core/groupscheduler_replies.cpp
@@ -70,6 +70,11 @@
         releaseConnection(key, now);
         resumeReplica(key.server, now);
         break;
+    case ExpectedReply::Demotion:
+        handleDemotion(*link, reply, now);
+        releaseConnection(key, now);
+        reviewPrimary(now);
+        break;
     }
 }
 
@@ -103,8 +108,8 @@
     if (link == nullptr)
         return;
     const auto &id = link->registration.id;
-    port_.connectionRefused(id, code, link->budget.retryAt(id) - now);
-    if (link->connections.empty())
+    port_.connectionRefused(id, code, std::max(link->budget.retryAt(id), now) - now);
+    if (link->requestConnections() == 0)
         requeueFrom(number, now);
 }
 
@@ -124,6 +129,16 @@
         clearPrimary(link, now);
 }
 
+void GroupScheduler::handleDemotion(ServerLink &link, const ServerReply &reply, TimePoint now)
+{
+    if (!reply.report)
+        return;
+    link.demoted = link.primary && !reply.report->primary;
+    link.demotionRefused = reply.report->primary;
+    port_.primaryDemoted(link.registration.id, link.demoted, reply.report->received);
+    handleReport(link, reply, now);
+}
+
 /// Ends the pause of a replica once a promotion has led to the term that it was paused for.
 void GroupScheduler::resumeReplica(ServerNumber number, TimePoint now)
 {
@@ -186,8 +201,13 @@
     else if (commit)
         answer.committed = transaction != transactions_.end() && transaction->second.wrote;
     // The commit of a transaction that wrote nothing succeeds at any server, not just the primary.
+    if (answer.committed && reply.position && mayBeRolledBack(link, *reply.position)) {
+        withholdCommit(key, pending, now);
+        return;
+    }
     const bool fromPrimary = answer.committed || (connection.provesPrimary && !commit);
-    if (fromPrimary && reply.position) {
+    // A commit that was acknowledged before a demotion may be answered after it.
+    if (fromPrimary && reply.position && !link.demoted) {
         setPrimary(key.server, reply.position->term, now);
         recordWatermark(*reply.position, pending.sentAt);
     }
@@ -219,6 +239,16 @@
         startQueued(key.server, now);
 }
 
+/// Answers a commit that took effect at a primary whose term a recorded promotion ends, and that
+/// its successor may lack.
+void GroupScheduler::withholdCommit(ServerConnectionKey key, Pending &pending, TimePoint now)
+{
+    if (pending.request.scope != RequestScope::InTransaction)
+        removeFromQueue(pending, true, now);
+    finishWithError(pending, AnswerCode::InDoubt, "a promotion may roll the commit back");
+    abortConnection(key, "its server is being replaced as the primary", now);
+}
+
 void GroupScheduler::recordError(ServerConnectionKey key, const Pending &pending, AnswerCode code,
                                  TimePoint now)
 {
--- a/src/core/groupscheduler_servers.cpp
+++ b/src/core/groupscheduler_servers.cpp
@@ -204,18 +204,56 @@
     return false;
 }
 
+/// Sends \a command on the server's control connection. If there is none, it is opened for a later
+/// call. Returns whether the command was sent.
+bool GroupScheduler::sendOnControlConnection(ServerNumber number, const ServerCommand &command,
+                                             ExpectedReply kind, TimePoint now)
+{
+    auto &link = servers_.at(number);
+    for (auto &[id, connection] : link.connections) {
+        if (!connection.control)
+            continue;
+        if (!connection.open || !connection.outstanding.empty())
+            return false;
+        send({number, id}, connection, {&command, 1}, {&kind, 1}, now);
+        return true;
+    }
+    if (now < link.controlRetryAt)
+        return false;
+    link.controlRetryAt = now + settings_.reportInterval;
+    const auto id = nextControlConnection_++;
+    link.connections[id].control = true;
+    openConnection(number, id, now);
+    return false;
+}
+
 void GroupScheduler::requestReports(TimePoint now)
 {
     const ServerCommand status{CommandKind::Status, {}};
     ServerCommand pause{CommandKind::Pause, {}};
-    pause.term = newestTerm() + 1;
-    const auto kind = ExpectedReply::Report;
+    pause.term = pauseTerm_;
+    ServerCommand demote{CommandKind::Demote, {}};
+    demote.term = newestTerm() + 1;
+    // Leaving replicas are paused first, so that those that stay have received no less.
+    const bool leavingFirst = std::any_of(servers_.begin(), servers_.end(), [&](const auto &entry) {
+        const auto &link = entry.second;
+        return link.leavingSince && !link.primary && link.pausedUntilTerm < pauseTerm_
+               && now - link.reportedAt < settings_.failover.maxReportAge;
+    });
     for (auto &[number, link] : servers_) {
         if (!monitored(link, now) || now - link.reportRequestedAt < settings_.reportInterval)
             continue;
-        const auto &command = pauseWanted_ && !link.primary ? pause : status;
-        if (sendOnIdleConnection(number, {&command, 1}, {&kind, 1}, now)
-            || sendBehindStatement(number, command, kind, now))
+        const bool pauses = !link.primary && link.pausedUntilTerm < pauseTerm_
+                            && (link.leavingSince || !leavingFirst);
+        const bool demotes = link.primary && link.demotionWantedAt && !link.demotionRefused;
+        const auto kind = demotes ? ExpectedReply::Demotion : ExpectedReply::Report;
+        const auto &command = demotes ? demote : pauses ? pause : status;
+        // Where commits wait for replicas, a report behind a statement could wait as long.
+        const bool sent =
+            sendOnIdleConnection(number, {&command, 1}, {&kind, 1}, now)
+            || (confirmReplicas_ > 0 ? sendOnControlConnection(number, command, kind, now)
+                                     : sendBehindStatement(number, command, kind, now));
+        if (sent)
             link.reportRequestedAt = now;
     }
 }
@@ -260,8 +298,12 @@
     }
     if (present && servers_.at(*present).term > term)
         return;
-    for (auto &[other, link] : servers_)
+    for (auto &[other, link] : servers_) {
         link.primary = other == number;
+        link.demoted = false;
+        link.demotionWantedAt.reset();
+        link.demotionRefused = false;
+    }
     servers_.at(number).term = std::max(servers_.at(number).term, term);
     primaryMissingSince_ = TimePoint::max();
     clearSuspicion();
@@ -315,6 +357,10 @@
         candidate.received = link.received;
         candidate.mayHaveForked = mayHaveForked(link, now);
         candidate.paused = !link.primary && link.pausedUntilTerm > newestTerm();
+        candidate.demoted = link.demoted;
+        candidate.demotionWantedAt = link.demotionWantedAt;
+        candidate.demotionRefused = link.demotionRefused;
+        candidate.supersededByOrder = link.primary && supersededByOrder(link);
         view.push_back(candidate);
     }
     return view;
@@ -365,7 +411,12 @@
     const bool unavailable = number && primaryUnavailable(now);
     primarySuspected_ = step.suspected;
     suspicion_ = step.reason;
-    pauseWanted_ = step.pauseReplicas && witness_;
+    // While an order is pending, its promotion may have taken place: a pause for the term that
+    // follows would block the new primary.
+    const bool ordered = planner_.orderPending(now) && lastPromotion_;
+    const auto endedTerm = ordered ? lastPromotion_->endedTerm : newestTerm();
+    pauseTerm_ = step.pauseReplicas && witness_ ? endedTerm + 1 : 0;
+    wantDemotion(step.demotePrimary && witness_, now);
     reportSuspicion(step.reportSuspicion && witness_, now);
     if (step.requestReports || unavailable || !number || planner_.orderPending(now))
         requestReports(now);
@@ -375,7 +426,45 @@
         return;
     planner_.orderGiven(now);
     ++counters_.promotionsOrdered;
-    port_.orderPromotion({settings_.service, step.server, step.position, step.reason});
+    port_.orderPromotion(
+        {settings_.service, step.server, step.position, step.reason, newestTerm()});
+}
+
+void GroupScheduler::wantDemotion(bool wanted, TimePoint now)
+{
+    const auto number = primary();
+    if (!number)
+        return;
+    auto &link = servers_.at(*number);
+    if (!wanted) {
+        link.demotionWantedAt.reset();
+        link.demotionRefused = false;
+    } else if (!link.demotionWantedAt) {
+        link.demotionWantedAt = now;
+        link.reportRequestedAt = TimePoint{}; // The command isn't delayed by an earlier report.
+    }
+}
+
+bool GroupScheduler::supersededByOrder(const ServerLink &link) const
+{
+    return confirmReplicas_ > 0 && lastPromotion_ && !lastPromotion_->server.empty()
+           && lastPromotion_->server != link.registration.id
+           && link.term <= lastPromotion_->endedTerm;
+}
+
+bool GroupScheduler::mayBeRolledBack(const ServerLink &link, Position position) const
+{
+    return supersededByOrder(link) && position.term <= lastPromotion_->endedTerm
+           && position > lastPromotion_->position;
+}
+
+bool GroupScheduler::writesMustWait(const GroupRequest &request) const
+{
+    const bool mayWrite = request.scope == RequestScope::BeginTransaction
+                              ? !request.readOnlyTransaction
+                              : !request.readOnly;
+    const auto number = primary();
+    return mayWrite && number && supersededByOrder(servers_.at(*number));
 }
 
 void GroupScheduler::promotionSeen(const PromotionRecord &record, TimePoint now)
--- a/src/core/promotionplanner.cpp
+++ b/src/core/promotionplanner.cpp
@@ -16,12 +16,20 @@
     std::uint32_t satisfied = 0;
     std::uint32_t missing = 0;
     for (const auto &server : servers) {
-        if (!server.primary && server.registered && !server.mayHaveForked)
+        if (!server.primary && !server.demoted && server.registered && !server.mayHaveForked)
             ++(condition(server) ? satisfied : missing);
     }
     return satisfied > 0 && missing < confirmReplicas;
 }
 
+/// Whether some replica may still receive log data.
+bool needsPause(std::span<const FailoverCandidate> servers)
+{
+    return std::any_of(servers.begin(), servers.end(), [](const auto &server) {
+        return !server.primary && !server.demoted && server.registered && !server.paused;
+    });
+}
+
 } // namespace
 
 PromotionPlanner::PromotionPlanner(const FailoverSettings &settings)
@@ -39,8 +47,13 @@
 {
     const auto primary = std::find_if(servers.begin(), servers.end(),
                                       [](const auto &server) { return server.primary; });
-    if (primary == servers.end())
+    if (primary == servers.end()) {
+        const bool demoted = std::any_of(servers.begin(), servers.end(),
+                                         [](const auto &server) { return server.demoted; });
+        if (demoted)
+            return "primary_demoted";
         return missingFor >= settings_.missingPrimaryLimit ? "no_primary" : "";
+    }
     if (!primary->registered)
         return "primary_gone";
     if (primary->leaving)
@@ -51,7 +64,23 @@
         return "primary_silent";
     const bool paused = std::any_of(servers.begin(), servers.end(),
                                     [](const auto &server) { return server.paused; });
-    return paused ? "replicas_paused" : "";
+    if (paused)
+        return "replicas_paused";
+    return primary->supersededByOrder ? "promotion_unfinished" : "";
+}
+
+/// Whether the primary still answers and hasn't been asked, or hasn't had the time, to stop
+/// acknowledging commits.
+bool PromotionPlanner::awaitsDemotion(std::span<const FailoverCandidate> servers,
+                                      TimePoint now) const
+{
+    const auto primary = std::find_if(servers.begin(), servers.end(),
+                                      [](const auto &server) { return server.primary; });
+    if (primary == servers.end() || !primary->registered || primary->demotionRefused
+        || primary->silence >= settings_.suspicionLimit || primary->refusedFor > Duration::zero())
+        return false;
+    return !primary->demotionWantedAt
+           || now - *primary->demotionWantedAt < settings_.demotionTimeout;
 }
 
 bool PromotionPlanner::hasRecentReport(const FailoverCandidate &server, Duration maxReportAge,
@@ -67,14 +96,18 @@
     // reach the replica.
     auto maxReportAge = settings_.maxReportAge;
     for (const auto &server : servers) {
-        if (server.primary && server.silence > Duration::zero())
+        // A primary that reports isn't silent, even if its commits wait for replicas.
+        const bool reports =
+            confirmReplicas_ > 0 && hasRecentReport(server, settings_.maxReportAge, now);
+        if (server.primary && server.silence > Duration::zero() && !reports)
             maxReportAge = std::min(maxReportAge, server.silence);
     }
     const FailoverCandidate *best = nullptr;
     for (const auto &server : servers) {
         // Where replicas confirm commits, a leaving one may be chosen: holding every acknowledged
         // commit matters more than staying.
-        const bool usable = !server.primary && server.registered && !server.mayHaveForked
+        const bool usable = !server.primary && !server.demoted && server.registered
+                            && !server.mayHaveForked
                             && (confirmReplicas_ > 0 ? server.paused : !server.leaving)
                             && hasRecentReport(server, maxReportAge, now);
         // Ties go to the lowest id, so that all proxies choose the same server.
@@ -99,8 +132,10 @@
 {
     FailoverStep step;
     step.reason = promotionReason(servers, missingFor);
-    const bool serving = step.reason == "primary_leaving" || step.reason == "replicas_paused";
-    const bool reasonCertain = serving || step.reason == "primary_gone";
+    const bool serving = step.reason == "primary_leaving" || step.reason == "replicas_paused"
+                         || step.reason == "promotion_unfinished";
+    const bool reasonCertain =
+        serving || step.reason == "primary_gone" || step.reason == "primary_demoted";
     const bool silent = std::any_of(servers.begin(), servers.end(), [&](const auto &server) {
         return server.primary
                && (server.silence >= settings_.suspicionLimit
@@ -111,21 +146,31 @@
         return step;
     step.suspected = !serving;
     step.requestReports = true;
-    if (orderPending(now) || (!reasonCertain && !witnessesAgree_))
+    if (!reasonCertain && !witnessesAgree_)
         return step;
-    if (confirmReplicas_ > 0 && !coverCommits(servers, confirmReplicas_, [](const auto &server) {
-            return server.paused;
-        })) {
-        // With too few reachable replicas a pause would block commits without allowing a promotion.
-        step.pauseReplicas = coverCommits(servers, confirmReplicas_, [&](const auto &server) {
-            return hasRecentReport(server, settings_.maxReportAge, now);
-        });
-        return step;
-    }
-    if (const auto *best = successor(servers, now)) {
-        step.server = best->id;
-        step.position = best->received;
+    const auto isPaused = [](const auto &server) { return server.paused; };
+    if (confirmReplicas_ > 0) {
+        // A replica that joins while an order is pending must be paused too. With too few reachable
+        // replicas a pause would block commits without allowing a promotion.
+        step.pauseReplicas =
+            needsPause(servers)
+            && (std::any_of(servers.begin(), servers.end(), isPaused)
+                || coverCommits(servers, confirmReplicas_, [&](const auto &server) {
+                       return hasRecentReport(server, settings_.maxReportAge, now);
+                   }));
+        if (!coverCommits(servers, confirmReplicas_, isPaused))
+            return step;
     }
+    if (orderPending(now))
+        return step;
+    const auto *best = successor(servers, now);
+    if (best == nullptr)
+        return step;
+    step.demotePrimary = confirmReplicas_ > 0 && awaitsDemotion(servers, now);
+    if (step.demotePrimary)
+        return step;
+    step.server = best->id;
+    step.position = best->received;
     return step;
 }
 
--- a/src/core/promotionplanner.h
+++ b/src/core/promotionplanner.h
@@ -33,6 +33,9 @@
     Duration orderInterval{std::chrono::milliseconds(3000)};
     /// Time between an order of this proxy that failed and its next one.
     Duration retryDelay{std::chrono::milliseconds(300)};
+    /// Time that a primary which still serves gets to answer that it has been demoted. After it the
+    /// promotion goes on without, so it is a small part of the time that a promotion takes.
+    Duration demotionTimeout{std::chrono::milliseconds(200)};
 };
 
 /// State of one server of a group, as input of the PromotionPlanner.
@@ -49,6 +52,13 @@
     /// Its log may hold commits that an earlier promotion has rolled back.
     bool mayHaveForked = false;
     bool paused = false; ///< It receives no log data until the next promotion.
+    /// A primary that reported itself as a replica after a demotion. Its log holds every
+    /// acknowledged commit, and it acknowledges no further one.
+    bool demoted = false;
+    std::optional<TimePoint> demotionWantedAt; ///< Since when a demotion has been wanted.
+    bool demotionRefused = false;              ///< It answered a demotion, but is still primary.
+    /// An order that another server take its place was recorded, and may still be carried out.
+    bool supersededByOrder = false;
 };
 
 /// Outcome of a review: the actions that the caller must take.
@@ -58,6 +68,7 @@
     bool reportSuspicion = false; ///< The other proxies must be told of the suspicion.
     bool requestReports = false;  ///< Replicas must report before one can be chosen.
     bool pauseReplicas = false;   ///< Replicas must stop receiving before one can be chosen.
+    bool demotePrimary = false;   ///< The primary must be demoted before a replica is promoted.
     std::string server;           ///< The server to promote; empty if none.
     Position position;            ///< Last position in the log of \c server.
     std::string reason;           ///< Why the primary must be replaced; empty if it needn't be.
@@ -73,7 +84,8 @@
 /// Where commits are acknowledged once replicas have received them, enough replicas are paused
 /// before the choice that no commit can be acknowledged after it. A pause is never revoked, since
 /// another proxy may have based its choice on it. Paused replicas are therefore a reason for a
-/// promotion by themselves. Not thread-safe.
+/// promotion by themselves. A replica that joins later isn't paused when it confirms its first
+/// commits, so a primary that still answers is demoted before the order. Not thread-safe.
 class PromotionPlanner
 {
 public:
@@ -108,6 +120,7 @@
 private:
     std::string promotionReason(std::span<const FailoverCandidate> servers,
                                 Duration missingFor) const;
+    bool awaitsDemotion(std::span<const FailoverCandidate> servers, TimePoint now) const;
     bool hasRecentReport(const FailoverCandidate &server, Duration maxReportAge,
                          TimePoint now) const;
     const FailoverCandidate *successor(std::span<const FailoverCandidate> servers,
--- a/src/core/serverlink.cpp
+++ b/src/core/serverlink.cpp
@@ -67,20 +67,29 @@
 
 Duration ServerLink::refusedFor(TimePoint now) const
 {
-    return failingSince_ && openConnections() == 0 ? now - *failingSince_ : Duration::zero();
+    const bool connected = std::any_of(connections.begin(), connections.end(),
+                                       [](const auto &entry) { return entry.second.open; });
+    return failingSince_ && !connected ? now - *failingSince_ : Duration::zero();
 }
 
 std::size_t ServerLink::openConnections() const
+{
+    return std::count_if(connections.begin(), connections.end(), [](const auto &entry) {
+        return entry.second.open && !entry.second.control;
+    });
+}
+
+std::size_t ServerLink::requestConnections() const
 {
     return std::count_if(connections.begin(), connections.end(),
-                         [](const auto &entry) { return entry.second.open; });
+                         [](const auto &entry) { return !entry.second.control; });
 }
 
 Capacity ServerLink::capacity() const
 {
     Capacity capacity;
     for (const auto &[id, connection] : connections) {
-        if (connection.session)
+        if (connection.session || connection.control)
             continue;
         ++capacity.total;
         if (!connection.open || !connection.outstanding.empty())
--- a/src/core/serverlink.h
+++ b/src/core/serverlink.h
@@ -25,6 +25,7 @@
     ProxyRollback, ///< A rollback that the proxy sends by itself.
     Probe,         ///< A begin that checks whether the server is the primary.
     Report,        ///< Status, Pause or Resume.
+    Demotion,
 };
 
 /// State of one connection to a backend server.
@@ -48,9 +49,12 @@
     /// Only a primary accepts the running statement, so its success shows that the server is one.
     bool provesPrimary = false;
     TimePoint lastUsed;
+    /// Carries only commands of the proxy, so that the server can be asked while all other
+    /// connections wait for replies or hold transactions.
+    bool control = false;
 
     /// Returns whether a request or a command of the proxy may use the connection now.
-    bool idle() const { return open && outstanding.empty() && !session && !request; }
+    bool idle() const { return open && outstanding.empty() && !session && !request && !control; }
 };
 
 /// State of one backend server of a group, with its connections and the queue of requests that wait
@@ -76,6 +80,8 @@
     TimePoint laggingUntil = TimePoint{};
     /// Until then no connections beyond the share are opened, because the server refused one.
     TimePoint burstRefusedUntil = TimePoint{};
+    /// No control connection is opened before this, because of the last attempt.
+    TimePoint controlRetryAt = TimePoint{};
 
     ConnectionBudget budget;
     std::map<ConnectionId, ServerConnection> connections;
@@ -106,13 +112,22 @@
     /// none or a connection is open.
     Duration refusedFor(TimePoint now) const;
 
+    /// Whether it reported itself as a replica after a demotion, and no successor is known.
+    bool demoted = false;
+    std::optional<TimePoint> demotionWantedAt; ///< Since when a demotion has been wanted.
+    bool demotionRefused = false; ///< It answered the last demotion, but is still primary.
+
     TimePoint lastReplyAt() const { return lastReplyAt_; }
 
     /// Returns whether any reply is due on the existing connections.
     bool awaitsReply() const;
 
+    /// Returns the number of open connections for requests.
     std::size_t openConnections() const;
 
+    /// Returns the number of connections for requests, those that are being opened included.
+    std::size_t requestConnections() const;
+
     /// Returns the connections for requests, without those that hold an open transaction.
     Capacity capacity() const;
 
--- a/src/core/sqlsession.h
+++ b/src/core/sqlsession.h
@@ -78,6 +78,8 @@
     /// Status.
     Pause,
     Resume, ///< Ends a pause. Answered like Status.
+    /// A primary of an older term than the given one becomes a replica. Answered like Status.
+    Demote,
 };
 
 /// One command to a backend server.
@@ -91,7 +93,9 @@
     bool readOnly = false; ///< Whether a Prepare is for a read-only statement.
     std::string name = {}; ///< Has the meaning of SessionStatement::name.
     std::string text = {}; ///< Has the meaning of SessionStatement::text.
-    Term term = 0;         ///< For Pause: term of the primary that ends the pause.
+    /// For Pause: term of the primary that ends the pause. For Demote: a term that the server
+    /// doesn't lead.
+    Term term = 0;
 };
 
 /// A backend server's report about itself.
@@ -113,7 +117,7 @@
     std::string signature; ///< Proof that the server ran the statement; empty if there is none.
     TransactionState state = TransactionState::None;
     std::optional<Position> position;   ///< End of the server's log.
-    std::optional<ServerReport> report; ///< Set in answers to Status, Pause or Resume.
+    std::optional<ServerReport> report; ///< Set in answers to Status, Pause, Resume, Demote.
 };
 
 /// Answer to a client's statement.
--- a/src/gateway/groupactor.cpp
+++ b/src/gateway/groupactor.cpp
@@ -291,10 +291,18 @@
                 ReportSuspicion{context_.scheduler.service, std::string(server), suspected});
 }
 
+void GroupActor::primaryDemoted(std::string_view server, bool demoted, Position position)
+{
+    spdlog::info("event=primary_demotion service={} server={} demoted={} position={}",
+                 logValue(context_.scheduler.service), logValue(server), demoted,
+                 logValue(toText(position)));
+}
+
 void GroupActor::orderPromotion(const PromotionChoice &choice)
 {
-    spdlog::warn("event=promotion_wanted service={} server={} reason={}", logValue(choice.service),
-                 logValue(choice.server), choice.reason);
+    spdlog::warn("event=promotion_wanted service={} server={} position={} ended_term={} reason={}",
+                 logValue(choice.service), logValue(choice.server),
+                 logValue(toText(choice.position)), choice.endedTerm, choice.reason);
     self_->send(context_.promotions, OrderPromotion{choice, recordRevision_});
 }
 
--- a/src/gateway/groupactor.h
+++ b/src/gateway/groupactor.h
@@ -70,6 +70,7 @@
     void connectionRefused(std::string_view server, AnswerCode code, Duration retryDelay) override;
     void shareWatermark(Position position, TimePoint sentAt) override;
     void reportSuspicion(std::string_view server, bool suspected) override;
+    void primaryDemoted(std::string_view server, bool demoted, Position position) override;
     void orderPromotion(const PromotionChoice &choice) override;
 
     Broker *self_;
--- a/src/gateway/promotionactor.cpp
+++ b/src/gateway/promotionactor.cpp
@@ -54,8 +54,9 @@
 void PromotionActor::writeRecord(const std::string &service, std::int64_t expectedRevision)
 {
     const auto &order = orders_.at(service);
-    const PromotionRecord record{service,     order.choice.server,   context_.vm,
-                                 order.nonce, order.choice.position, 0};
+    const PromotionRecord record{
+        service, order.choice.server,   context_.vm, order.nonce, order.choice.position,
+        0,       order.choice.endedTerm};
     const auto key = std::string(promotionsPrefix) + service;
     call(context_.storeCaller,
          context_.protocols.store->write(key, encodePromotion(record), 0, expectedRevision),
--- a/src/gateway/registryrecords.cpp
+++ b/src/gateway/registryrecords.cpp
@@ -61,7 +61,8 @@
                                                       {"holder", record.holder},
                                                       {"nonce", record.nonce},
                                                       {"term", record.position.term},
-                                                      {"position", record.position.lsn}});
+                                                      {"position", record.position.lsn},
+                                                      {"endedTerm", record.endedTerm}});
 }
 
 Result<PromotionRecord> decodePromotion(std::string_view value, std::int64_t revision)
@@ -81,6 +82,9 @@
     reader.text("nonce", record.nonce);
     reader.integer("term", record.position.term, 0, std::numeric_limits<Term>::max());
     reader.integer("position", record.position.lsn, 0, std::numeric_limits<std::int64_t>::max());
+    // A proxy of the version before doesn't write the term that its promotion ends.
+    record.endedTerm = record.position.term;
+    reader.integer("endedTerm", record.endedTerm, 0, std::numeric_limits<Term>::max());
     if (!problems.empty()) {
         return boost::leaf::new_error(
             Failure{ErrorCode::BadRequest, Verdict::DidNotRun,
--- a/tests/adapter/test_lineprotocol.cpp
+++ b/tests/adapter/test_lineprotocol.cpp
@@ -233,6 +233,9 @@
     BOOST_TEST(encodeCommand({CommandKind::Pause, {}, {}, false, {}, {}, 4})
                == "QUERY - PAUSE 4\r\n");
     BOOST_TEST(encodeCommand({CommandKind::Resume, {}}) == "QUERY - RESUME\r\n");
+    ServerCommand demote{CommandKind::Demote, {}};
+    demote.term = 4;
+    BOOST_TEST(encodeCommand(demote) == "QUERY - DEMOTE 4\r\n");
 }
 
 // Guards against a pause report that the proxy doesn't recognise: it would wait for the pause
--- a/tests/sessions/fakeport.h
+++ b/tests/sessions/fakeport.h
@@ -59,6 +59,10 @@
     {
         suspicions.emplace_back(server, suspected);
     }
+    void primaryDemoted(std::string_view server, bool demoted, Position) override
+    {
+        demotions.emplace_back(server, demoted);
+    }
     void orderPromotion(const PromotionChoice &choice) override { promotions.push_back(choice); }
 
     std::vector<ServerConnectionKey> opened;
@@ -71,6 +75,7 @@
     std::vector<Refusal> refusals;
     std::vector<Position> shared;
     std::vector<std::pair<std::string, bool>> suspicions;
+    std::vector<std::pair<std::string, bool>> demotions;
     std::vector<PromotionChoice> promotions;
 };
 
--- a/tests/sessions/fleetmodel.cpp
+++ b/tests/sessions/fleetmodel.cpp
@@ -130,6 +130,7 @@
         model_.share(index_, position, sentAt);
     }
     void reportSuspicion(std::string_view, bool) override {}
+    void primaryDemoted(std::string_view, bool, Position) override {}
     void orderPromotion(const PromotionChoice &) override {}
 
 private:
--- a/tests/sessions/groupfixture.cpp
+++ b/tests/sessions/groupfixture.cpp
@@ -87,6 +87,9 @@
                 case CommandKind::Status:
                     reply(key, report(primary, position.term, position, paused[server]));
                     break;
+                case CommandKind::Demote: // The primary of the fixture stays primary.
+                    reply(key, report(primary, position.term, position));
+                    break;
                 case CommandKind::Pause:
                 case CommandKind::Resume:
                     paused[server] = command.term;
--- /dev/null
+++ b/tests/sessions/replicationmodel.cpp
@@ -0,0 +1,729 @@
+#include "sessions/replicationmodel.h"
+
+#include <algorithm>
+
+namespace shallotwalk {
+
+namespace {
+
+constexpr Duration tickInterval = 10ms;
+constexpr Duration replicationInterval = 5ms;
+constexpr Duration networkDelay = 2ms;
+constexpr Duration openingTime = 12ms;
+constexpr Duration workTime = 3ms;
+constexpr Duration routeTimeout = 800ms;
+constexpr Duration maxStaleness = 1500ms;
+constexpr Duration writePause = 50ms;
+constexpr Duration readPause = 900ms;
+constexpr unsigned readsPerTransaction = 12;
+constexpr Duration storeCallTime = 5ms;
+/// Time until the entry of a crashed server is removed.
+constexpr Duration entryLifetime = 3600ms;
+/// Time for which a leaving server goes on.
+constexpr Duration leavingTime = 8s;
+
+struct LogEntry
+{
+    Term term = 0;
+    std::string statement;
+
+    bool operator==(const LogEntry &) const = default;
+};
+
+} // namespace
+
+/// A database of the group, with the connections that all proxies have to it.
+struct ReplicationModel::Server
+{
+    struct Connection
+    {
+        std::deque<ServerCommand> commands;
+        bool busy = false;
+        TransactionState state = TransactionState::None;
+    };
+    struct WaitingCommit
+    {
+        Proxy *proxy = nullptr;
+        ServerConnectionKey key;
+        std::size_t length = 0; ///< Of the log that holds the commit.
+    };
+    using Key = std::pair<Proxy *, ServerConnectionKey>;
+
+    Position received() const
+    {
+        return {log.empty() ? 1 : log.back().term, static_cast<LogPosition>(log.size())};
+    }
+    bool receives() const { return !crashed && !deaf && !primary && pausedUntil == 0; }
+
+    ServerRegistration registration;
+    bool registered = true;
+    bool primary = false;
+    bool deaf = false;
+    bool crashed = false;
+    Term term = 1;
+    Term pausedUntil = 0;
+    std::vector<LogEntry> log;
+    std::map<Key, Connection> connections;
+    std::vector<WaitingCommit> waiting;
+};
+
+/// One start of a proxy, with the port of its scheduler and its clients.
+class ReplicationModel::Proxy : public GroupPort
+{
+public:
+    Proxy(ReplicationModel &model, std::size_t number, std::uint64_t randomSeed)
+        : index(number)
+        , model_(model)
+        , scheduler(makeSettings(randomSeed), *this)
+    {
+        const auto &settings = model.settings_;
+        scheduler.setConfirmReplicas(settings.confirmReplicas);
+        scheduler.setWitness(true, number);
+        scheduler.setConnections(allotConnections(settings.connectionLimit, settings.proxies),
+                                 model.time_.now());
+        tick();
+        for (std::size_t writer = 0; writer < settings.writers; ++writer)
+            write();
+    }
+
+    /// Runs \a run for this proxy after \a delay, once the proxy isn't frozen any more.
+    void later(Duration delay, std::function<void()> run)
+    {
+        model_.time_.after(delay, [this, run = std::move(run)] {
+            if (ended)
+                return;
+            const auto frozenFor = frozenUntil - model_.time_.now();
+            if (frozenFor > Duration::zero())
+                later(frozenFor, run);
+            else
+                run();
+        });
+    }
+
+    void openConnection(ServerConnectionKey key, const ServerRegistration &registration) override
+    {
+        serverOf_[key] = registration.id;
+        model_.time_.after(networkDelay + openingTime, [this, key] { accept(key); });
+    }
+    void sendCommands(ServerConnectionKey key, std::span<const ServerCommand> commands) override
+    {
+        for (const auto &command : commands) {
+            model_.time_.after(networkDelay, [this, key, command] {
+                auto &target = server(key);
+                const auto found = target.connections.find({this, key});
+                if (found == target.connections.end())
+                    return;
+                found->second.commands.push_back(command);
+                runNext(key);
+            });
+        }
+    }
+    void closeConnection(ServerConnectionKey key) override
+    {
+        server(key).connections.erase({this, key});
+    }
+    void answer(const GroupRequest &request, GroupAnswer answer) override
+    {
+        if (answer.answer.error == AnswerCode::InDoubt)
+            ++model_.inDoubt_;
+        if (!answer.answer.error && answer.committed) {
+            model_.acknowledged_.insert(request.statement.id);
+            model_.acknowledgedAt_ = model_.time_.now();
+        }
+        if (const auto reader = readers_.find(request.session); reader != readers_.end())
+            later(Duration(0),
+                  [this, session = request.session, answer] { continueReading(session, answer); });
+        else
+            later(writePause, [this] { write(); });
+    }
+    void requestRetried(const GroupRequest &, std::string_view, std::optional<AnswerCode>) override
+    {
+    }
+    void connectionRefused(std::string_view, AnswerCode, Duration) override {}
+    void shareWatermark(Position, TimePoint) override {}
+    void reportSuspicion(std::string_view suspect, bool suspected) override
+    {
+        if (suspected)
+            model_.suspicions_[index] = suspect;
+        else
+            model_.suspicions_.erase(index);
+        model_.shareSuspicions();
+    }
+    void primaryDemoted(std::string_view server, bool demoted, Position) override
+    {
+        model_.note(demoted ? "demoted" : "not demoted", server);
+    }
+    void orderPromotion(const PromotionChoice &choice) override
+    {
+        model_.note("proxy " + std::to_string(index) + " wants, " + choice.reason, choice.server);
+        model_.writeRecord(*this, choice);
+    }
+
+    /// A connection is closed by the server.
+    void lose(ServerConnectionKey key)
+    {
+        later(networkDelay,
+              [this, key] { scheduler.connectionLost(key, "closed", model_.time_.now()); });
+    }
+
+    void read()
+    {
+        auto request = makeRequest(StatementKind::Read);
+        request.scope = RequestScope::BeginTransaction;
+        request.readOnlyTransaction = true;
+        readers_[request.session] = 0;
+        scheduler.submit(std::move(request), model_.time_.now());
+    }
+
+    /// Answers the command that the connection \a key is busy with.
+    void finish(ServerConnectionKey key, ServerReply reply)
+    {
+        auto &target = server(key);
+        const auto found = target.connections.find({this, key});
+        if (found == target.connections.end())
+            return;
+        found->second.busy = false;
+        this->reply(key, std::move(reply));
+        runNext(key);
+    }
+
+    const std::size_t index;
+    bool ended = false;
+    TimePoint frozenUntil;
+    std::int64_t recordRevision = 0;
+    std::uint64_t published = 0; ///< Newest list of servers that it knows.
+
+private:
+    static GroupSchedulerSettings makeSettings(std::uint64_t randomSeed)
+    {
+        GroupSchedulerSettings settings;
+        settings.service = "bookings";
+        settings.randomSeed = randomSeed;
+        settings.makePolicy = [] { return std::make_unique<FairSharePolicy>(); };
+        return settings;
+    }
+
+    Server &server(ServerConnectionKey key) { return model_.server(serverOf_.at(key)); }
+
+    void tick()
+    {
+        later(tickInterval, [this] {
+            scheduler.tick(model_.time_.now());
+            tick();
+        });
+    }
+
+    GroupRequest makeRequest(StatementKind kind)
+    {
+        const auto now = model_.time_.now();
+        GroupRequest request;
+        request.number = ++model_.requests_;
+        request.session = request.number;
+        request.statement.id = "id" + std::to_string(request.number);
+        request.statement.kind = kind;
+        request.statement.text = "item";
+        request.readOnly = kind == StatementKind::Read;
+        request.values = std::make_shared<SessionValues>();
+        request.route = "route";
+        request.maxStaleness = maxStaleness;
+        request.startedAt = now;
+        request.receivedAt = now;
+        request.deadline = now + routeTimeout;
+        return request;
+    }
+
+    void write()
+    {
+        later(Duration(0),
+              [this] { scheduler.submit(makeRequest(StatementKind::Write), model_.time_.now()); });
+    }
+
+    /// Keeps the transaction of a reader open if it runs on the server that readers hold, and
+    /// begins another one otherwise.
+    void continueReading(SessionNumber session, const GroupAnswer &answer)
+    {
+        const bool stays = !answer.answer.error && answer.server == model_.heldServer_
+                           && ++readers_[session] < readsPerTransaction;
+        if (stays) {
+            later(readPause, [this, session] {
+                auto request = makeRequest(StatementKind::Read);
+                request.session = session;
+                request.scope = RequestScope::InTransaction;
+                request.readOnlyTransaction = true;
+                scheduler.submit(std::move(request), model_.time_.now());
+            });
+            return;
+        }
+        readers_.erase(session);
+        scheduler.endTransaction(session, model_.time_.now());
+        if (!model_.heldServer_.empty())
+            later(writePause, [this] { read(); });
+    }
+
+    void accept(ServerConnectionKey key)
+    {
+        auto &target = server(key);
+        if (target.crashed) {
+            lose(key);
+            return;
+        }
+        ServerReply opening;
+        if (target.connections.size() >= model_.settings_.connectionLimit)
+            opening.error = AnswerCode::TooManyClients;
+        else
+            target.connections[{this, key}];
+        reply(key, opening);
+    }
+
+    void reply(ServerConnectionKey key, ServerReply reply)
+    {
+        auto &target = server(key);
+        const auto found = target.connections.find({this, key});
+        if (found != target.connections.end())
+            reply.state = found->second.state;
+        reply.position = target.received();
+        later(networkDelay,
+              [this, key, reply] { scheduler.replied(key, reply, model_.time_.now()); });
+    }
+
+    void runNext(ServerConnectionKey key)
+    {
+        auto &target = server(key);
+        const auto found = target.connections.find({this, key});
+        if (found == target.connections.end() || found->second.busy
+            || found->second.commands.empty())
+            return;
+        found->second.busy = true;
+        const auto command = found->second.commands.front();
+        found->second.commands.pop_front();
+        model_.time_.after(workTime, [this, key, command] {
+            const auto run = server(key).connections.find({this, key});
+            if (run != server(key).connections.end())
+                execute(key, run->second, command);
+        });
+    }
+
+    void execute(ServerConnectionKey key, Server::Connection &connection,
+                 const ServerCommand &command)
+    {
+        auto &target = server(key);
+        ServerReply answer;
+        switch (command.kind) {
+        case CommandKind::Begin:
+            if (!target.primary)
+                answer.error = AnswerCode::ReadOnly;
+            else
+                connection.state = TransactionState::Open;
+            break;
+        case CommandKind::BeginReadOnly:
+            if (command.after && *command.after > target.received())
+                answer.error = AnswerCode::Lagging;
+            else
+                connection.state = TransactionState::Open;
+            break;
+        case CommandKind::Rollback:
+            connection.state = TransactionState::None;
+            break;
+        case CommandKind::Pause:
+            if (!target.primary && command.term > model_.term_)
+                target.pausedUntil = command.term;
+            break;
+        case CommandKind::Resume:
+            target.pausedUntil = 0;
+            break;
+        case CommandKind::Write:
+            if (!target.primary) {
+                answer.error = AnswerCode::ReadOnly;
+                break;
+            }
+            target.log.push_back({target.term, command.id});
+            target.waiting.push_back({this, key, target.log.size()});
+            return;
+        case CommandKind::Demote:
+            if (model_.settings_.obeysDemote)
+                model_.demote(target, command.term);
+            break;
+        case CommandKind::Status:
+            break;
+        default:
+            answer.signature = "signature";
+            answer.rows = {"row"};
+            break;
+        }
+        if (command.kind == CommandKind::Status || command.kind == CommandKind::Pause
+            || command.kind == CommandKind::Resume || command.kind == CommandKind::Demote)
+            answer.report =
+                ServerReport{target.primary, target.term, target.received(), target.pausedUntil};
+        finish(key, std::move(answer));
+    }
+
+    ReplicationModel &model_;
+    std::map<ServerConnectionKey, std::string> serverOf_;
+    std::map<SessionNumber, unsigned> readers_; ///< Statements of each reader's transaction.
+
+public:
+    GroupScheduler scheduler; ///< Declared last, since it calls this port.
+};
+
+ReplicationModel::ReplicationModel(ReplicationModelSettings settings, std::uint64_t seed)
+    : settings_(settings)
+    , random_(seed)
+{
+    for (std::size_t index = 0; index < settings_.servers; ++index)
+        addServer();
+    servers_.front()->primary = true;
+    servers_.front()->registration.primary = true;
+    leader_ = servers_.front()->registration.id;
+    for (std::size_t index = 0; index < settings_.proxies; ++index)
+        proxies_.push_back(std::make_unique<Proxy>(*this, index, index));
+    pump();
+    publish();
+}
+
+ReplicationModel::~ReplicationModel() = default;
+
+void ReplicationModel::run(Duration duration)
+{
+    time_.runUntil(time_.now() + duration);
+}
+
+Duration ReplicationModel::between(Duration low, Duration high)
+{
+    return Duration(
+        std::uniform_int_distribution<Duration::rep>(low.count(), high.count())(random_));
+}
+
+void ReplicationModel::afterStore(Duration delay, std::function<void()> run)
+{
+    const auto wait = std::max<Duration>(storeBackAt_ - time_.now(), Duration::zero());
+    time_.after(wait + delay, std::move(run));
+}
+
+void ReplicationModel::note(std::string_view event, std::string_view subject)
+{
+    const auto at =
+        std::chrono::duration_cast<std::chrono::milliseconds>(time_.now() - TimePoint(1000s));
+    events_ += std::to_string(at.count()) + " ms: " + std::string(event) + ": "
+               + std::string(subject) + '\n';
+}
+
+ReplicationModel::Server &ReplicationModel::server(const std::string &id) const
+{
+    return **std::find_if(servers_.begin(), servers_.end(),
+                          [&](const auto &entry) { return entry->registration.id == id; });
+}
+
+/// The running primary, or null.
+ReplicationModel::Server *ReplicationModel::leader() const
+{
+    auto &last = server(leader_);
+    return last.primary && !last.crashed ? &last : nullptr;
+}
+
+ReplicationModel::Server &ReplicationModel::addServer()
+{
+    auto added = std::make_unique<Server>();
+    auto &registration = added->registration;
+    registration.id = "db-" + std::to_string(servers_.size() + 1);
+    registration.service = "bookings";
+    registration.host = "10.0.0." + std::to_string(servers_.size() + 1);
+    registration.port = 5000;
+    registration.slots = 2;
+    registration.startedAt = 1;
+    added->term = term_;
+    servers_.push_back(std::move(added));
+    return *servers_.back();
+}
+
+/// Passes the log of the primary on, and answers the commits that enough replicas hold.
+void ReplicationModel::pump()
+{
+    time_.after(replicationInterval, [this] { pump(); });
+    auto *primary = leader();
+    if (primary == nullptr)
+        return;
+    for (const auto &replica : servers_) {
+        if (!replica->receives())
+            continue;
+        replica->log = primary->log;
+        replica->term = primary->term;
+    }
+    auto waiting = std::exchange(primary->waiting, {});
+    for (const auto &commit : waiting) {
+        const auto holders =
+            std::count_if(servers_.begin(), servers_.end(), [&](const auto &replica) {
+                return !replica->primary && !replica->crashed
+                       && replica->log.size() >= commit.length
+                       && replica->log[commit.length - 1] == primary->log[commit.length - 1];
+            });
+        if (holders < settings_.confirmReplicas) {
+            primary->waiting.push_back(commit);
+            continue;
+        }
+        ServerReply reply;
+        reply.signature = "signature";
+        commit.proxy->finish(commit.key, std::move(reply));
+    }
+}
+
+/// Gives all proxies the new list of servers.
+void ReplicationModel::publish()
+{
+    std::vector<ServerRegistration> list;
+    for (const auto &entry : servers_) {
+        if (entry->registered)
+            list.push_back(entry->registration);
+    }
+    const auto number = ++published_;
+    for (std::size_t index = 0; index < proxies_.size(); ++index) {
+        afterStore(between(5ms, 40ms), [this, index, list, number] {
+            auto &proxy = *proxies_[index];
+            proxy.later(Duration(0), [this, &proxy, list, number] {
+                if (proxy.published >= number)
+                    return;
+                proxy.published = number;
+                proxy.scheduler.setServers(list, time_.now());
+            });
+        });
+    }
+}
+
+void ReplicationModel::shareSuspicions()
+{
+    afterStore(between(5ms, 30ms), [this] {
+        for (const auto &entry : proxies_) {
+            auto &proxy = *entry;
+            proxy.later(Duration(0), [this, &proxy] {
+                std::vector<std::string> others;
+                for (const auto &[index, suspect] : suspicions_) {
+                    if (index != proxy.index)
+                        others.push_back(suspect);
+                }
+                proxy.scheduler.setSuspicions(others, proxies_.size(), time_.now());
+            });
+        }
+    });
+}
+
+/// Records the choice of a proxy, if its record is still the newest one, and tells all proxies.
+void ReplicationModel::writeRecord(Proxy &proxy, const PromotionChoice &choice)
+{
+    const auto known = proxy.recordRevision;
+    afterStore(storeCallTime, [this, &proxy, choice, known] {
+        if (record_.revision != known) {
+            proxy.later(networkDelay, [this, &proxy, choice] {
+                proxy.scheduler.promotionFailed(choice.server, time_.now());
+            });
+            return;
+        }
+        record_ = {
+            choice.service,       choice.server,   std::to_string(proxy.index), "", choice.position,
+            record_.revision + 1, choice.endedTerm};
+        for (const auto &entry : proxies_) {
+            auto &informed = *entry;
+            informed.later(between(5ms, 40ms), [this, &informed, record = record_] {
+                informed.recordRevision = std::max(informed.recordRevision, record.revision);
+                informed.scheduler.promotionSeen(record, time_.now());
+            });
+        }
+        proxy.later(storeCallTime, [this, &proxy, record = record_] { order(proxy, record); });
+    });
+}
+
+void ReplicationModel::order(Proxy &proxy, const PromotionRecord &record)
+{
+    auto &chosen = server(record.server);
+    if (record.revision < highestToken_ || chosen.crashed) {
+        proxy.scheduler.promotionFailed(record.server, time_.now());
+        return;
+    }
+    highestToken_ = record.revision;
+    if (!chosen.primary) {
+        time_.after(settings_.promotionTime,
+                    [this, &chosen, token = record.revision] { lead(chosen, token); });
+    }
+}
+
+void ReplicationModel::lead(Server &chosen, std::int64_t token)
+{
+    if (token < highestToken_ || chosen.crashed)
+        return;
+    ++term_;
+    leader_ = chosen.registration.id;
+    promoted_.push_back(leader_);
+    note("leads", leader_);
+    for (const auto &member : servers_) {
+        if (member->crashed)
+            continue;
+        endWaitingCommits(*member);
+        member->primary = member.get() == &chosen;
+        member->registration.primary = member->primary;
+        member->term = term_;
+        member->pausedUntil = 0;
+        member->log = chosen.log;
+    }
+    publish();
+}
+
+/// Makes a primary a replica. Whether its unanswered commits are kept is unknown, so their
+/// connections are closed.
+void ReplicationModel::demote(Server &primary, Term term)
+{
+    if (!primary.primary || term <= primary.term)
+        return;
+    primary.primary = false;
+    primary.registration.primary = false;
+    note("is demoted", primary.registration.id);
+    endWaitingCommits(primary);
+    publish();
+}
+
+void ReplicationModel::endWaitingCommits(Server &primary)
+{
+    for (const auto &commit : std::exchange(primary.waiting, {})) {
+        primary.connections.erase({commit.proxy, commit.key});
+        commit.proxy->lose(commit.key);
+    }
+}
+
+std::string ReplicationModel::join()
+{
+    auto &added = addServer();
+    if (const auto *primary = leader())
+        added.log = primary->log;
+    note("joins", added.registration.id);
+    publish();
+    return added.registration.id;
+}
+
+void ReplicationModel::leave(const std::string &id)
+{
+    auto &leaving = server(id);
+    leaving.registration.leaving = true;
+    note("is leaving", id);
+    publish();
+    time_.after(leavingTime, [this, id] {
+        if (server(id).crashed)
+            return;
+        crash(id);
+        server(id).registered = false;
+        publish();
+    });
+}
+
+void ReplicationModel::crash(const std::string &id)
+{
+    auto &crashed = server(id);
+    note("ends", id);
+    crashed.crashed = true;
+    crashed.waiting.clear();
+    for (const auto &[key, connection] : std::exchange(crashed.connections, {}))
+        key.first->lose(key.second);
+    time_.after(entryLifetime, [this, &crashed, start = crashed.registration.startedAt] {
+        if (!crashed.crashed || crashed.registration.startedAt != start)
+            return;
+        crashed.registered = false;
+        publish();
+    });
+}
+
+void ReplicationModel::restart(const std::string &id)
+{
+    auto &restarted = server(id);
+    note("is back", id);
+    restarted.crashed = false;
+    restarted.registered = true;
+    restarted.pausedUntil = 0;
+    ++restarted.registration.startedAt;
+    restarted.registration.leaving = false;
+    restarted.primary = id == leader_;
+    restarted.registration.primary = restarted.primary;
+    if (const auto *primary = leader()) {
+        restarted.log = primary->log;
+        restarted.term = primary->term;
+    }
+    publish();
+}
+
+void ReplicationModel::setDeaf(const std::string &id, bool deaf)
+{
+    note(deaf ? "receives nothing" : "receives again", id);
+    server(id).deaf = deaf;
+}
+
+void ReplicationModel::holdTransactions(const std::string &id)
+{
+    note("held by transactions", id);
+    heldServer_ = id;
+    if (id.empty())
+        return;
+    for (const auto &proxy : proxies_) {
+        for (std::size_t reader = 0; reader < settings_.connectionLimit / 2; ++reader)
+            proxy->read();
+    }
+}
+
+void ReplicationModel::freezeProxy(std::size_t proxy, Duration duration)
+{
+    note("proxy is frozen", std::to_string(proxy));
+    proxies_[proxy]->frozenUntil = time_.now() + duration;
+}
+
+void ReplicationModel::restartProxy(std::size_t proxy)
+{
+    note("proxy restarts", std::to_string(proxy));
+    auto &old = *proxies_[proxy];
+    old.ended = true;
+    for (const auto &member : servers_) {
+        std::erase_if(member->connections,
+                      [&](const auto &entry) { return entry.first.first == &old; });
+        std::erase_if(member->waiting, [&](const auto &commit) { return commit.proxy == &old; });
+    }
+    suspicions_.erase(proxy);
+    endedProxies_.push_back(std::exchange(
+        proxies_[proxy],
+        std::make_unique<Proxy>(*this, proxy, settings_.proxies + endedProxies_.size())));
+    proxies_[proxy]->recordRevision = record_.revision;
+    if (record_.revision > 0)
+        proxies_[proxy]->scheduler.promotionSeen(record_, time_.now());
+    publish();
+    shareSuspicions();
+}
+
+void ReplicationModel::takeStoreAway(Duration duration)
+{
+    note("the store is away", std::to_string(duration.count() / 1000) + " ms");
+    storeBackAt_ = time_.now() + duration;
+}
+
+std::string ReplicationModel::primary() const
+{
+    return leader() == nullptr ? "" : leader_;
+}
+
+std::vector<std::string> ReplicationModel::replicas() const
+{
+    std::vector<std::string> ids;
+    for (const auto &member : servers_) {
+        if (!member->crashed && !member->primary)
+            ids.push_back(member->registration.id);
+    }
+    return ids;
+}
+
+bool ReplicationModel::running(const std::string &id) const
+{
+    return !server(id).crashed;
+}
+
+std::size_t ReplicationModel::lost() const
+{
+    std::set<std::string> kept;
+    for (const auto &entry : server(leader_).log)
+        kept.insert(entry.statement);
+    return static_cast<std::size_t>(
+        std::count_if(acknowledged_.begin(), acknowledged_.end(),
+                      [&](const auto &statement) { return !kept.contains(statement); }));
+}
+
+} // namespace shallotwalk
--- a/tests/sessions/test_groupscheduler.cpp
+++ b/tests/sessions/test_groupscheduler.cpp
@@ -509,6 +509,62 @@
     BOOST_TEST(paused.at("r2") == 0U);
 }
 
+// Guards against an acknowledged commit that a promotion rolls back: a replica that has just joined
+// confirmed it while the order was pending. Writes wait for the new primary meanwhile.
+BOOST_AUTO_TEST_CASE(commit_beyond_an_ordered_promotion_is_in_doubt)
+{
+    sampleWatermark();
+    scheduler.setConfirmReplicas(1);
+    for (RequestNumber number = 1; number <= 2; ++number)
+        scheduler.submit(request(number, StatementKind::Write), now);
+    connectAll();
+    const auto sent = takeSent("p");
+    BOOST_REQUIRE(sent.size() == 2);
+    scheduler.promotionSeen({"bookings", "r1", "other", "n", {1, 100}, 7, 1}, now);
+    reply(sent[0].key, signedReply(TransactionState::None, {1, 100}));
+    reply(sent[1].key, signedReply(TransactionState::None, {1, 101}));
+    BOOST_TEST(!port.answers.at(1).answer.error.has_value());
+    BOOST_TEST((port.answers.at(2).answer.error == AnswerCode::InDoubt));
+    scheduler.submit(request(3, StatementKind::Write), now);
+    BOOST_TEST(takeSent("p").empty());
+    scheduler.setServers(
+        std::vector{registration("p"), registration("r1", true), registration("r2")}, now);
+    serve("r1", {2, 102}, true);
+    BOOST_TEST(!port.answers.at(3).answer.error.has_value());
+}
+
+// Guards against a demoted primary that counts as the primary again because of the late answer to
+// a commit.
+BOOST_AUTO_TEST_CASE(demoted_primary_stays_demoted)
+{
+    sampleWatermark();
+    scheduler.setConfirmReplicas(1);
+    scheduler.submit(request(1, StatementKind::Write), now);
+    const auto write = takeSent("p");
+    BOOST_REQUIRE(write.size() == 1);
+    auto leaving = registration("p", true);
+    leaving.leaving = true;
+    scheduler.setServers(std::vector{leaving, registration("r1"), registration("r2")}, now);
+    bool demoted = false;
+    for (int i = 0; i < 60 && !demoted; ++i) {
+        wait(10ms);
+        connectAll();
+        serve("r1");
+        serve("r2");
+        for (const auto &sent : takeSent("p")) {
+            demoted = sent.commands.front().kind == CommandKind::Demote;
+            reply(sent.key, report(!demoted, 1, {1, 101}));
+        }
+    }
+    BOOST_REQUIRE(demoted);
+    BOOST_REQUIRE(port.promotions.size() == 1);
+    BOOST_TEST(port.promotions.front().server == "r1");
+    BOOST_TEST(port.promotions.front().endedTerm == 1U);
+    reply(write.front().key, signedReply(TransactionState::None, {1, 100}));
+    for (const auto &[number, link] : scheduler.servers())
+        BOOST_TEST(!link.primary);
+}
+
 // Guards against refusing requests while an idle transaction holds the only connection. When 30
 // proxies share 46 connections to a server, each proxy's share is one.
 BOOST_AUTO_TEST_CASE(work_behind_a_transaction_gets_a_connection_beyond_the_share)
--- a/tests/sessions/test_promotionplanner.cpp
+++ b/tests/sessions/test_promotionplanner.cpp
@@ -141,11 +141,90 @@
     other.paused = true;
     BOOST_TEST(review(std::vector{primary, replica, other}).server.empty());
     replica.paused = true;
-    const auto step = review(std::vector{primary, replica, other});
+    auto step = review(std::vector{primary, replica, other});
+    BOOST_TEST(!step.pauseReplicas);
+    BOOST_TEST(step.demotePrimary);
+    BOOST_TEST(step.server.empty());
+    primary.primary = false;
+    primary.demoted = true;
+    primary.reportedAt = now;
+    primary.received = {1, 105};
+    step = review(std::vector{primary, replica, other});
+    BOOST_TEST(!step.demotePrimary);
     BOOST_TEST(!step.pauseReplicas);
     BOOST_TEST(step.server == "s");
 }
 
+// Guards against commits that a replica confirms which joins after the choice: a primary that
+// answers is demoted before the order, and one that doesn't delays the order only shortly.
+BOOST_AUTO_TEST_CASE(primary_that_answers_is_demoted_before_the_order)
+{
+    planner.setConfirmReplicas(1);
+    primary.leaving = true;
+    replica.paused = true;
+    BOOST_TEST(review().demotePrimary);
+    primary.demotionWantedAt = now;
+    BOOST_TEST(review().demotePrimary);
+    BOOST_TEST(review().server.empty());
+    primary.demotionRefused = true;
+    BOOST_TEST(review().server == "r");
+    primary.demotionRefused = false;
+    now += planner.settings().demotionTimeout;
+    replica.reportedAt = now;
+    BOOST_TEST(review().server == "r");
+    primary.demotionWantedAt.reset();
+    primary.refusedFor = 1s;
+    BOOST_TEST(review().server == "r");
+    planner.setConfirmReplicas(0);
+    primary.refusedFor = {};
+    BOOST_TEST(!review().demotePrimary);
+    BOOST_TEST(review().server == "r");
+}
+
+// Guards against a replacement that waits until no commit does: the primary reported, but counted
+// as silent since its last report, and the replicas had reported just before.
+BOOST_AUTO_TEST_CASE(commits_that_wait_do_not_delay_the_choice)
+{
+    planner.setConfirmReplicas(1);
+    primary.leaving = true;
+    primary.demotionRefused = true;
+    primary.reportedAt = now - 50ms;
+    primary.silence = 50ms;
+    replica.paused = true;
+    replica.reportedAt = now - 51ms;
+    BOOST_TEST(review().server == "r");
+}
+
+// Guards against a replica that joins while an order is pending and confirms commits until then.
+BOOST_AUTO_TEST_CASE(replica_that_joins_during_an_order_is_paused)
+{
+    planner.setConfirmReplicas(1);
+    primary.leaving = true;
+    replica.paused = true;
+    planner.orderGiven(now);
+    BOOST_TEST(!review().pauseReplicas);
+    auto joined = replica;
+    joined.id = "j";
+    joined.paused = false;
+    BOOST_TEST(review(std::vector{primary, replica, joined}).pauseReplicas);
+}
+
+// Guards against a proxy that withholds commits for good because of an order that was neither
+// carried out nor withdrawn.
+BOOST_AUTO_TEST_CASE(unfinished_promotion_is_ordered_again)
+{
+    planner.setConfirmReplicas(1);
+    primary.supersededByOrder = true;
+    planner.orderSeen(now);
+    BOOST_TEST(review().pauseReplicas);
+    replica.paused = true;
+    primary.demotionRefused = true;
+    BOOST_TEST(review().server.empty());
+    now += planner.settings().orderInterval;
+    replica.reportedAt = now;
+    BOOST_TEST(review().server == "r");
+}
+
 // Guards against the loss of a commit that only a replica which is leaving has received.
 BOOST_AUTO_TEST_CASE(leaving_replica_with_the_longest_log_is_chosen_where_replicas_confirm)
 {
@@ -180,6 +259,8 @@
     planner.setConfirmReplicas(1);
     planner.setAgreement(0, 4);
     replica.paused = true;
+    BOOST_TEST(review().demotePrimary);
+    primary.demotionRefused = true;
     const auto step = review();
     BOOST_TEST(step.server == "r");
     BOOST_TEST(step.reason == "replicas_paused");
