Count replicas that were never asked in the check before a promotion

Cause: the check that the paused replicas hold all commits left out replicas whose log may have forked, and one that had never reported counted as such. It couldn't be asked either, because clients held transactions on all connections to it; it went on confirming commits while a paused one was promoted.

Fix: each registered replica counts; one that isn't known to be paused may have confirmed anything. On a related path, a replica that restarts between its pause and the order is no longer taken for paused: a pause counts only with a recent report, and not after its connection was lost.

--- a/src/core/groupscheduler_replies.cpp
+++ b/src/core/groupscheduler_replies.cpp
@@ -424,6 +424,7 @@
         return;
     lastConnectionError_ = reason;
     link->connectionFailed(now);
+    link->pausedUntilTerm = 0; // The server may have restarted, which ends a pause.
     removeConnection(key, now);
 }
 
--- a/src/core/promotionplanner.cpp
+++ b/src/core/promotionplanner.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 /// Whether enough replicas satisfy \a condition that one of them holds every commit that at least
-/// \a confirmReplicas replicas have received.
+/// \a confirmReplicas replicas have received. One about which nothing is known may have confirmed
+/// any commit.
 template<class Condition>
 bool coverCommits(std::span<const FailoverCandidate> servers, std::uint32_t confirmReplicas,
                   Condition condition)
@@ -16,7 +17,7 @@
     std::uint32_t satisfied = 0;
     std::uint32_t missing = 0;
     for (const auto &server : servers) {
-        if (!server.primary && !server.demoted && server.registered && !server.mayHaveForked)
+        if (!server.primary && !server.demoted && server.registered)
             ++(condition(server) ? satisfied : missing);
     }
     return satisfied > 0 && missing < confirmReplicas;
@@ -148,7 +149,10 @@
     step.requestReports = true;
     if (!reasonCertain && !witnessesAgree_)
         return step;
-    const auto isPaused = [](const auto &server) { return server.paused; };
+    // A pause ends with a restart of the replica, so only a recent report shows it.
+    const auto isPaused = [&](const auto &server) {
+        return server.paused && hasRecentReport(server, settings_.maxReportAge, now);
+    };
     if (confirmReplicas_ > 0) {
         // A replica that joins while an order is pending must be paused too. With too few reachable
         // replicas a pause would block commits without allowing a promotion.
--- a/tests/sessions/test_groupscheduler.cpp
+++ b/tests/sessions/test_groupscheduler.cpp
@@ -565,6 +565,41 @@
         BOOST_TEST(!link.primary);
 }
 
+// Guards against a replica that is never asked, and so neither paused nor chosen, because clients
+// hold transactions on all connections to it: a crashed primary wasn't replaced for 7 s.
+BOOST_AUTO_TEST_CASE(replica_full_of_transactions_is_asked_on_a_control_connection)
+{
+    sampleWatermark();
+    scheduler.setConfirmReplicas(1);
+    for (RequestNumber number = 1; number <= 12; ++number) {
+        auto begin = request(number, StatementKind::Read, 1500ms);
+        begin.scope = RequestScope::BeginTransaction;
+        begin.readOnlyTransaction = true;
+        scheduler.submit(begin, now);
+        connectAll();
+        for (const std::string server : {"p", "r1", "r2"})
+            serve(server, {1, 100}, server == "p");
+    }
+    auto leaving = registration("p", true);
+    leaving.leaving = true;
+    scheduler.setServers(std::vector{leaving, registration("r1"), registration("r2")}, now);
+    for (int i = 0; i < 60 && port.promotions.empty(); ++i) {
+        wait(10ms);
+        connectAll();
+        for (const std::string server : {"p", "r1", "r2"})
+            serve(server, {1, 100}, server == "p");
+    }
+    BOOST_TEST(scheduler.openTransactions() > 3U);
+    BOOST_TEST(paused["r1"] == 2U);
+    BOOST_TEST(paused["r2"] == 2U);
+    BOOST_TEST(port.promotions.size() == 1U);
+    // No request uses a control connection, and it is closed when it isn't needed any more.
+    scheduler.setConfirmReplicas(0);
+    waitAndServe(2s);
+    for (const auto &[number, link] : scheduler.servers())
+        BOOST_TEST(link.connections.size() == link.requestConnections());
+}
+
 // Guards against refusing requests while an idle transaction holds the only connection. When 30
 // proxies share 46 connections to a server, each proxy's share is one.
 BOOST_AUTO_TEST_CASE(work_behind_a_transaction_gets_a_connection_beyond_the_share)
--- a/tests/sessions/test_promotionplanner.cpp
+++ b/tests/sessions/test_promotionplanner.cpp
@@ -239,6 +239,33 @@
     BOOST_TEST(review(std::vector{primary, replica, leaving}).server == "l");
 }
 
+// Guards against a replica that confirms commits unnoticed because it has never reported.
+BOOST_AUTO_TEST_CASE(replica_that_was_never_asked_prevents_the_choice)
+{
+    planner.setConfirmReplicas(1);
+    primary.leaving = true;
+    primary.demotionRefused = true;
+    replica.paused = true;
+    FailoverCandidate unasked;
+    unasked.id = "u";
+    unasked.mayHaveForked = true;
+    BOOST_TEST(review(std::vector{primary, replica, unasked}).server.empty());
+    BOOST_TEST(review(std::vector{primary, replica}).server == "r");
+}
+
+// Guards against a replica that has restarted since its pause, and confirms commits again.
+BOOST_AUTO_TEST_CASE(paused_replica_without_a_recent_report_prevents_the_choice)
+{
+    planner.setConfirmReplicas(1);
+    primary.leaving = true;
+    primary.demotionRefused = true;
+    replica.paused = true;
+    auto silent = replica;
+    silent.id = "s";
+    silent.reportedAt = now - planner.settings().maxReportAge;
+    BOOST_TEST(review(std::vector{primary, replica, silent}).server.empty());
+}
+
 // Guards against a pause that blocks commits although it can't lead to a promotion.
 BOOST_AUTO_TEST_CASE(nothing_is_paused_while_a_replica_that_may_hold_commits_is_silent)
 {
