Tidy the state of servers and cover a demotion that is sent twice

Cause: found when reading the change. A second reply to a demotion took the former primary for an ordinary replica, which would have delayed its replacement by a pause.

--- a/src/core/groupscheduler_connections.cpp
+++ b/src/core/groupscheduler_connections.cpp
@@ -41,7 +41,6 @@
     std::size_t limit = std::max(allotment_.share, allotment_.burst);
     if (!usable(*link, now))
         limit = monitored(*link, now) ? 1 : 0;
-    // A connection that stays open shows that a server without an entry still runs.
     const std::size_t kept = keepsConnections() ? 1 : 0;
     std::vector<ConnectionId> closed;
     std::vector<ConnectionId> closedControl;
--- a/src/core/groupscheduler_replies.cpp
+++ b/src/core/groupscheduler_replies.cpp
@@ -142,8 +142,10 @@
 {
     if (!reply.report)
         return;
-    link.demoted = link.primary && !reply.report->primary;
-    link.demotedAt = now;
+    // The command may have been sent twice.
+    if (!link.demoted)
+        link.demotedAt = now;
+    link.demoted = (link.primary || link.demoted) && !reply.report->primary;
     link.demotionRefused = reply.report->primary;
     port_.primaryDemoted(link.registration.id, link.demoted, reply.report->received);
     handleReport(link, reply, sentAt, now);
--- a/src/core/serverlink.h
+++ b/src/core/serverlink.h
@@ -77,6 +77,12 @@
     /// reached since.
     Position stoppedAt;
     Term stoppedUntilTerm = 0;
+    bool lastPrimary = false; ///< It is or was the primary, and hasn't been a replica since.
+    /// Whether it reported itself as a replica after a demotion, and no successor is known.
+    bool demoted = false;
+    TimePoint demotedAt = TimePoint{};
+    std::optional<TimePoint> demotionWantedAt; ///< Since when a demotion has been wanted.
+    bool demotionRefused = false; ///< It answered the last demotion, but is still primary.
     std::optional<TimePoint> leavingSince;
     TimePoint reportedAt = TimePoint{};
     TimePoint reportRequestedAt = TimePoint{};
@@ -116,13 +122,6 @@
     /// none or a connection is open.
     Duration refusedFor(TimePoint now) const;
 
-    bool lastPrimary = false; ///< It is or was the primary, and hasn't been a replica since.
-    /// Whether it reported itself as a replica after a demotion, and no successor is known.
-    bool demoted = false;
-    TimePoint demotedAt = TimePoint{};
-    std::optional<TimePoint> demotionWantedAt; ///< Since when a demotion has been wanted.
-    bool demotionRefused = false; ///< It answered the last demotion, but is still primary.
-
     TimePoint lastReplyAt() const { return lastReplyAt_; }
 
     /// Returns whether any reply is due on the existing connections.
