--- a/tests/sessions/test_replication.cpp
+++ b/tests/sessions/test_replication.cpp
@@ -137,7 +137,7 @@
             break;
         case 3:
             if (replicas.size() > 1 && away.size() < 2) {
-                const auto id = replicas[draw(replicas.size())];
+                const auto &id = replicas[draw(replicas.size())];
                 away.insert(id);
                 model.crash(id);
             }
