--- a/review/stand-2/main.cpp
+++ b/review/stand-2/main.cpp
@@ -314,30 +314,6 @@
     return memory >= 0 && most <= memoryLimitMb && answer.ok() ? held : broken;
 }
 
-/// A client prepares one long statement and runs it.
-int prepareLong(Deployment &deployment, Record &record)
-{
-    constexpr std::size_t shapeBytes = 400'000;
-    deployment.configure(3, {{"rounds", "rounds-db"}});
-    if (!deployment.startProxies())
-        return notRun;
-    const auto port = deployment.proxy(0).clients;
-    Client client(port);
-    if (!client.start("rounds").ok() || !client.query("o1", "READ a").ok())
-        return notRun;
-    const std::string shape(deployment.trouble() ? shapeBytes : 100, 'q');
-    const auto prepared = client.query("o2", "PREPARE p1 READ " + shape);
-    record.line("QUERY o2 PREPARE p1 READ, shape of " + std::to_string(shape.size())
-                + " bytes: " + prepared.text());
-    if (!prepared.ok())
-        return notRun;
-    const auto ran = client.query("o3", "EXEC p1 a", 6000ms);
-    record.line("QUERY o3 EXEC p1 a: " + ran.text());
-    for (const auto &run : deployment.databases(0).runs())
-        record.line("run: " + run.id + " " + run.text + " at " + run.database);
-    return ran.ok() ? held : broken;
-}
-
 /// The store comes back from a copy, and the operator changes the configuration.
 int restoreStore(Deployment &deployment, Record &record)
 {
@@ -478,8 +454,6 @@
         result = sendStatementsAhead(deployment, record);
     else if (scenario == "prepares")
         result = prepareMany(deployment, record);
-    else if (scenario == "long")
-        result = prepareLong(deployment, record);
     else if (scenario == "stop")
         result = stopDuringAnswer(deployment, record);
     else if (scenario == "restore")
