--- a/review/stand-2/main.cpp
+++ b/review/stand-2/main.cpp
@@ -274,46 +274,6 @@
     return answer.ok() ? held : broken;
 }
 
-/// One client prepares many statements.
-int prepareMany(Deployment &deployment, Record &record)
-{
-    constexpr int statements = 480;
-    constexpr std::size_t shapeBytes = 1'000'000;
-    deployment.configure(3, {{"rounds", "rounds-db"}});
-    if (!deployment.startProxies())
-        return notRun;
-    const auto port = deployment.proxy(0).clients;
-    Client ordinary(port);
-    if (!ordinary.start("rounds").ok() || !ordinary.query("o1", "READ a").ok())
-        return notRun;
-    Client large(port);
-    if (!large.start("rounds").ok())
-        return notRun;
-    const std::string shape(deployment.trouble() ? shapeBytes : 100, 'q');
-    long most = 0;
-    int prepared = 0;
-    for (; prepared < statements; ++prepared) {
-        const auto name = "p" + std::to_string(prepared);
-        if (!large.query("s" + std::to_string(prepared), "PREPARE " + name + " READ " + shape).ok())
-            break;
-        const auto memory = deployment.memoryMb(0);
-        if (memory < 0)
-            break;
-        most = std::max(most, memory);
-    }
-    record.line("client 2 has prepared " + std::to_string(prepared) + " statements of "
-                + std::to_string(shape.size()) + " bytes, one after the other");
-    std::this_thread::sleep_for(1000ms);
-    const auto memory = deployment.memoryMb(0);
-    most = std::max(most, memory);
-    record.line("memory of the proxy: " + std::to_string(memory) + " MB, at most "
-                + std::to_string(most)
-                + " MB; limit of its machine: " + std::to_string(memoryLimitMb) + " MB");
-    const auto answer = ordinary.query("o2", "READ a");
-    record.line("client 1, QUERY o2 READ a: " + answer.text());
-    return memory >= 0 && most <= memoryLimitMb && answer.ok() ? held : broken;
-}
-
 /// The store comes back from a copy, and the operator changes the configuration.
 int restoreStore(Deployment &deployment, Record &record)
 {
@@ -452,8 +412,6 @@
     int result = notRun;
     if (scenario == "ahead")
         result = sendStatementsAhead(deployment, record);
-    else if (scenario == "prepares")
-        result = prepareMany(deployment, record);
     else if (scenario == "stop")
         result = stopDuringAnswer(deployment, record);
     else if (scenario == "restore")
