Let the scripts of the review end all processes that they start

Cause: the limit of a run was kept by a sleep that outlived the script. Change: timeout(1) keeps it; the scripts' logs stay in their folder.

--- a/review/stand-2/run-case.sh
+++ b/review/stand-2/run-case.sh
@@ -11,7 +11,9 @@
 [ -x "$stand" ] && [ -x "$proxy" ] || { echo "build first: the deploy file's command, review/build-2.sh"; exit 2; }
 folder=$(mktemp -d)
 pids=()
+standPid=
 cleanup() {
+    [ -n "$standPid" ] && kill "$standPid" 2>/dev/null
     for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null; done
     wait 2>/dev/null
     rm -rf "$folder"
@@ -19,26 +21,21 @@
 trap cleanup EXIT
 trap 'exit 2' TERM INT
 
-"$stand" "$scenario" "$proxies" "$folder" "$record" &
+timeout -k 2 110 "$stand" "$scenario" "$proxies" "$folder" "$record" &
 standPid=$!
-pids+=("$standPid")
 for _ in $(seq 100); do
     [ -f "$folder/proxies" ] && break
     sleep 0.05
 done
 [ -f "$folder/proxies" ] || exit 2
 : >"$folder/pids"
-number=0
 while read -r settings; do
-    number=$((number + 1))
-    SHALLOTWALK_BOOT=$settings "$proxy" >"$folder/log-$number" 2>&1 &
+    SHALLOTWALK_BOOT=$settings "$proxy" >"$settings.log" 2>&1 &
     pids+=("$!")
     echo "$!" >>"$folder/pids"
 done <"$folder/proxies"
-[ -n "${KEEP_LOGS:-}" ] && { mkdir -p "$KEEP_LOGS"; trap 'cp "$folder"/log-* "$KEEP_LOGS"; cleanup' EXIT; }
-( sleep 110; kill -KILL "$standPid" 2>/dev/null ) &
-pids+=("$!")
 wait "$standPid"
 result=$?
+standPid=
 [ "$result" -le 2 ] || result=2
 exit "$result"
