Let each case name its record, and record what was run

Cause: the records of cases 6 to 8 lacked what the databases had run, that of case 10 most of what was sent, and no case's folder named its record. The report had entries put together in one line. Change: the case or its run.sh names record.txt; all statements sent, answered and run are written there. The report has a line for each entry, and each script's runs.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,6 +6,7 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
+RECORD = os.path.join(HERE, "record.txt")
 sys.path.insert(0, os.path.join(HERE, "..", "stand-2"))
 import replicated
 
@@ -26,7 +27,7 @@
 
 
 async def run(temporary):
-    return await replicated.play(HERE, temporary, trouble, TROUBLE_S)
+    return await replicated.play(RECORD, temporary, trouble, TROUBLE_S)
 
 
 replicated.standin.main(run)
--- a/review/stand-2/main.cpp
+++ b/review/stand-2/main.cpp
@@ -245,7 +245,8 @@
     deployment.databases(0).setState(2, "draining");
     std::this_thread::sleep_for(300ms);
     for (std::size_t i = 0; i < deployment.proxies(); ++i) {
-        Client client(deployment.proxy(i).clients);
+        Client client(record, "client of proxy " + std::to_string(i + 1),
+                      deployment.proxy(i).clients);
         if (!client.start("extra").ok())
             return notRun;
     }
@@ -274,17 +275,16 @@
         const auto port = deployment.proxy(i).clients;
         const auto name = "proxy " + std::to_string(i + 1) + ", "
                           + std::to_string(millisecondsSince(acknowledged)) + " ms after: ";
-        Client slots(port);
+        Client slots(record, "client \"slots\" of proxy " + std::to_string(i + 1), port);
         slots.start("slots");
         const auto id = "slots-" + std::to_string(i + 1);
         const auto read = slots.query(id, "READ a");
-        Client extra(port);
+        Client extra(record, "client \"extra\" of proxy " + std::to_string(i + 1), port);
         const auto dropped = extra.start("extra");
-        Client later(port);
+        Client later(record, "client \"later\" of proxy " + std::to_string(i + 1), port);
         const auto added = later.start("later");
         record.line(name + "READ on \"slots\": " + read.text());
-        record.line(name + "START extra: " + dropped.text() + "; START later: " + added.text()
-                    + (added.error.empty() ? "" : ", ERR " + added.error));
+        record.line(name + "START extra: " + dropped.text() + "; START later: " + added.text());
         bool oldService = false;
         for (const auto &run : deployment.databases(0).runs())
             oldService = oldService || run.id == id;
@@ -308,7 +308,7 @@
     deployment.configure(3, {{"rounds", "rounds-db"}});
     if (!deployment.startProxies())
         return notRun;
-    Client client(deployment.proxy(0).clients, 128 * 1024);
+    Client client(record, "client", deployment.proxy(0).clients, 128 * 1024);
     if (!client.start("rounds").ok() || !client.query("o1", "READ a").ok())
         return notRun;
     std::this_thread::sleep_for(Milliseconds(stableMs + 1000));
@@ -321,7 +321,7 @@
     const auto start = Clock::now();
     if (!client.connection()->write("QUERY o2 READ report\r\n"))
         return notRun;
-    record.line("client: QUERY o2 READ report");
+    record.line("sent by client: QUERY o2 READ report");
     std::string tail;
     std::size_t received = 0;
     bool complete = false;
@@ -342,11 +342,9 @@
         }
         std::this_thread::sleep_for(readInterval);
     }
-    record.line("client: " + std::to_string(received) + " bytes of the answer, "
+    record.line("answered to client: " + std::to_string(received) + " bytes of the answer, "
                 + (complete ? "complete" : "then the connection ended without the rest") + ", "
                 + std::to_string(millisecondsSince(start)) + " ms after the request");
-    for (const auto &run : deployment.databases(0).runs())
-        record.line("run: " + run.id + " " + run.text + " at " + run.database);
     return complete ? held : broken;
 }
 
--- a/review/stand-2/replicated.py
+++ b/review/stand-2/replicated.py
@@ -114,6 +114,7 @@
             return done + self.ready(session)
         await asyncio.sleep(0.003)
         if verb == "READ":
+            self.group.record("run", db=self.id, id=number, text=text)
             return "ROW x\r\nDONE s.%s\r\n%s" % (number, self.ready(session))
         if verb == "WRITE" and not session.open:
             if not await self.group.commit(self, number):
@@ -251,12 +252,15 @@
         if not database.primary:
             return False
         database.log.append((term, len(database.log) + 1, number))
+        self.record("run", db=database.id, id=number, text="WRITE", position=database.position)
         upto = len(database.log)
         while True:
             await asyncio.sleep(RECEIVE_S / 2)
             if not database.runs() or self.term != term or not database.primary:
                 raise ConnectionResetError  # Whether the commit is kept is unknown here.
-            if any(len(d.log) >= upto for d in self.databases.values() if d is not database):
+            holders = [d.id for d in self.databases.values() if d is not database and len(d.log) >= upto]
+            if holders:
+                self.record("confirmed", db=database.id, id=number, by=holders)
                 return True
 
     async def promote(self, headers, body):
@@ -311,10 +315,11 @@
             await asyncio.sleep(0.2)
 
 
-async def play(folder, temporary, trouble, trouble_s):
-    """Runs the deployment with the coroutine \a trouble, which takes about \a trouble_s; returns the exit code."""
-    deployment = standin.Deployment(folder, temporary, PROXIES, ["nord-a", "centre-a", "sud-a"], 1)
-    record = deployment.record
+async def play(record_path, temporary, trouble, trouble_s):
+    """Runs the deployment with the coroutine \a trouble, which takes about \a trouble_s; returns the exit code.
+    What was sent, answered and run goes to \a record_path."""
+    deployment = standin.Deployment(temporary, temporary, PROXIES, ["nord-a", "centre-a", "sud-a"], 1)
+    record = deployment.record = standin.Record(record_path)
     deployment.store = standin.Store(record)
     server = await asyncio.start_server(deployment.store.serve, "127.0.0.1", 0)
     deployment.store_port = server.sockets[0].getsockname()[1]
--- a/review/stand-2/run-case.sh
+++ b/review/stand-2/run-case.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
 # Plays one scenario: starts the stand-ins, then the proxies with the command of the deploy file.
-# Usage: run-case.sh SCENARIO PROXIES FOLDER. Exit code: 1 broken, 0 held, 2 not run.
+# Usage: run-case.sh SCENARIO PROXIES RECORD. Exit code: 1 broken, 0 held, 2 not run.
 set -u
 scenario=$1
 proxies=$2
-record=$3/record.txt
+record=$3
 cd "$(dirname "$0")/../.." || exit 2
 stand=target/review-2/stand
 proxy=$(sed -n 's/^run = "\(.*\)"/\1/p' deploy/system.toml)
--- a/review/stand-2/stand.cpp
+++ b/review/stand-2/stand.cpp
@@ -755,6 +755,7 @@
         };
         const auto ran = [&](const std::string &text) {
             runs_.push_back({statement, text.substr(0, 60), id});
+            record_.line("run: " + statement + " " + text.substr(0, 60) + " at " + id);
         };
         std::string text;
         if (verb == "ROLLBACK") {
@@ -834,22 +835,27 @@
 std::string Answer::text() const
 {
     if (!complete)
-        return "no complete answer";
+        return error.empty() ? "no complete answer" : "ERR " + error + ", closed";
     return (error.empty() ? "DONE " + signature : "ERR " + error) + ", state " + state;
 }
 
 Answer Client::start(const std::string &database, Milliseconds limit)
 {
-    if (!connection_ || !connection_->write("START " + database + " u1\r\n"))
-        return {};
-    return readAnswer(limit);
+    return ask("START " + database + " u1", limit);
 }
 
 Answer Client::query(const std::string &id, const std::string &text, Milliseconds limit)
 {
-    if (!connection_ || !connection_->write("QUERY " + id + " " + text + "\r\n"))
-        return {};
-    return readAnswer(limit);
+    return ask("QUERY " + id + " " + text, limit);
+}
+
+Answer Client::ask(const std::string &message, Milliseconds limit)
+{
+    record_.line("sent by " + name_ + ": " + message);
+    auto answer =
+        connection_ && connection_->write(message + "\r\n") ? readAnswer(limit) : Answer();
+    record_.line("answered to " + name_ + ": " + answer.text());
+    return answer;
 }
 
 Answer Client::readAnswer(Milliseconds limit)
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -248,8 +248,10 @@
 class Client
 {
 public:
-    explicit Client(std::uint16_t port, int receiveBuffer = 0)
-        : connection_(Connection::open(port, receiveBuffer))
+    Client(Record &record, std::string name, std::uint16_t port, int receiveBuffer = 0)
+        : record_(record)
+        , name_(std::move(name))
+        , connection_(Connection::open(port, receiveBuffer))
     {
     }
 
@@ -260,6 +262,10 @@
     Connection *connection() { return connection_.get(); }
 
 private:
+    Answer ask(const std::string &message, Milliseconds limit);
+
+    Record &record_;
+    std::string name_;
     std::unique_ptr<Connection> connection_;
 };
 
