--- a/src/configuration/configurationactor.cpp
+++ b/src/configuration/configurationactor.cpp
@@ -386,7 +386,7 @@
     }
     const auto &value = reply.values.front();
     const auto head = valueOf(decodeHead(value.value));
-    run(head ? machine_.headRead(head, value.modRevision) : machine_.headReadFailed());
+    run(head ? machine_.headRead(head, value.modRevision.number()) : machine_.headReadFailed());
 }
 
 TimePoint ConfigurationActor::callDeadline() const
--- a/src/core/changelog.cpp
+++ b/src/core/changelog.cpp
@@ -21,7 +21,7 @@
 {
 }
 
-void ChangeLog::reset(std::span<const KeyValue> values, std::int64_t revision)
+void ChangeLog::reset(std::span<const KeyValue> values, StoreRevision revision)
 {
     clear();
     loaded_ = true;
@@ -31,7 +31,7 @@
         put({value, false});
 }
 
-void ChangeLog::apply(std::span<const FeedChange> changes, std::int64_t revision)
+void ChangeLog::apply(std::span<const FeedChange> changes, StoreRevision revision)
 {
     for (const auto &change : changes) {
         put(change);
@@ -44,8 +44,8 @@
 void ChangeLog::clear()
 {
     loaded_ = false;
-    revision_ = 0;
-    completeFrom_ = 0;
+    revision_ = {};
+    completeFrom_ = {};
     entries_.clear();
     order_.clear();
     deletions_.clear();
@@ -81,12 +81,14 @@
 
 bool ChangeLog::continuesSnapshot(const FeedCursor &cursor) const
 {
-    return cursor.log == id_ && cursor.snapshotBase != 0 && cursor.snapshotBase == completeFrom_;
+    return cursor.log == id_ && cursor.snapshotBase != StoreRevision()
+           && cursor.snapshotBase == completeFrom_;
 }
 
 bool ChangeLog::isDelta(const FeedCursor &cursor) const
 {
-    return cursor.log == id_ && cursor.snapshotBase == 0 && cursor.revision >= completeFrom_;
+    return cursor.log == id_ && cursor.snapshotBase == StoreRevision()
+           && cursor.revision >= completeFrom_;
 }
 
 bool ChangeLog::hasNews(const FeedCursor &cursor) const
@@ -103,12 +105,12 @@
     const bool delta = isDelta(cursor);
     page.snapshot = !delta && !continuesSnapshot(cursor);
     auto place = page.snapshot ? order_.begin()
-                               : order_.lower_bound(Place(cursor.revision + 1, std::string()));
+                               : order_.lower_bound(Place(cursor.revision.next(), std::string()));
     bool complete = true;
     std::size_t bytes = 0;
     while (place != order_.end()) {
         const auto revision = place->first;
-        const auto end = order_.lower_bound(Place(revision + 1, std::string()));
+        const auto end = order_.lower_bound(Place(revision.next(), std::string()));
         std::size_t groupBytes = 0;
         for (auto one = place; one != end; ++one)
             groupBytes += bytesOf(entries_.at(one->second));
@@ -122,7 +124,7 @@
         page.next.revision = revision;
     }
     page.next.log = id_;
-    page.next.snapshotBase = complete || delta ? 0 : completeFrom_;
+    page.next.snapshotBase = complete || delta ? StoreRevision() : completeFrom_;
     if (complete)
         page.next.revision = delta ? std::max(cursor.revision, revision_) : revision_;
     return page;
--- a/src/core/changelog.h
+++ b/src/core/changelog.h
@@ -14,7 +14,7 @@
 
 /// The last change of each key, in order of revision, from which followers are brought up to date.
 /// Deletions are remembered up to a limit; a follower that is behind the oldest remembered one
-/// gets a snapshot. Not thread-safe.
+/// gets a snapshot, and so does one of an earlier era of the store. Not thread-safe.
 class ChangeLog
 {
 public:
@@ -26,16 +26,16 @@
     explicit ChangeLog(std::uint64_t id = 0);
 
     /// Takes all present keys as of \a revision and forgets the rest.
-    void reset(std::span<const KeyValue> values, std::int64_t revision);
+    void reset(std::span<const KeyValue> values, StoreRevision revision);
 
     /// Takes changes in their order; the log is then complete up to \a revision.
-    void apply(std::span<const FeedChange> changes, std::int64_t revision);
+    void apply(std::span<const FeedChange> changes, StoreRevision revision);
 
     /// Forgets everything; the log is then not loaded.
     void clear();
 
     bool isLoaded() const { return loaded_; }
-    std::int64_t revision() const { return revision_; }
+    StoreRevision revision() const { return revision_; }
 
     /// True if page() would carry anything for \a cursor.
     bool hasNews(const FeedCursor &cursor) const;
@@ -46,7 +46,7 @@
 
 private:
     /// Revision and key.
-    using Place = std::pair<std::int64_t, std::string>;
+    using Place = std::pair<StoreRevision, std::string>;
 
     void put(const FeedChange &change);
     void limitDeletions();
@@ -55,8 +55,8 @@
 
     std::uint64_t id_;
     bool loaded_ = false;
-    std::int64_t revision_ = 0;
-    std::int64_t completeFrom_ = 0; ///< All later deletions are remembered.
+    StoreRevision revision_;
+    StoreRevision completeFrom_; ///< All later deletions are remembered.
     std::map<std::string, FeedChange, std::less<>> entries_;
     std::set<Place> order_;
     std::set<Place> deletions_;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -78,6 +78,7 @@
 #include "core/statement.h"
 #include "core/store/directorysource.h"
 #include "core/store/watchpacer.h"
+#include "core/storerevision.h"
 #include "core/swapoutcome.h"
 #include "core/tables.h"
 #include "core/tablesdiff.h"
--- a/src/core/directory.cpp
+++ b/src/core/directory.cpp
@@ -52,19 +52,44 @@
     return remove(proxies_, name, now);
 }
 
-void Directory::promotionSeen(PromotionRecord record)
+const PromotionRecord &Directory::promotionSeen(const PromotionRecord &record)
 {
-    auto &known = promotions_[record.service];
-    if (known.revision < record.revision)
-        known = std::move(record);
+    const auto [found, added] = promotions_.try_emplace(record.service, record, false);
+    auto &[known, lost] = found->second;
+    if (!added && known.revision < record.revision)
+        lost = !mergePromotion(record, known) && !isSameOrder(record, known);
+    return known;
+}
+
+const PromotionRecord *Directory::promotionGone(std::string_view service, StoreRevision revision)
+{
+    const auto found = promotions_.find(service);
+    if (found == promotions_.end())
+        return nullptr;
+    auto &[known, lost] = found->second;
+    if (known.revision < revision) {
+        known.revision = revision;
+        lost = true;
+    }
+    return &known;
+}
+
+std::vector<PromotionRecord> Directory::lostPromotions() const
+{
+    std::vector<PromotionRecord> records;
+    for (const auto &[service, promotion] : promotions_) {
+        if (promotion.lost)
+            records.push_back(promotion.record);
+    }
+    return records;
 }
 
 std::vector<PromotionRecord> Directory::promotions() const
 {
     std::vector<PromotionRecord> records;
     records.reserve(promotions_.size());
-    for (const auto &[service, record] : promotions_)
-        records.push_back(record);
+    for (const auto &[service, promotion] : promotions_)
+        records.push_back(promotion.record);
     return records;
 }
 
--- a/src/core/directory.h
+++ b/src/core/directory.h
@@ -2,6 +2,7 @@
 
 #include "core/exchange/fleetmember.h"
 #include "core/position.h"
+#include "core/promotionrecord.h"
 #include "core/serverregistration.h"
 #include "core/tables.h"
 #include "core/time.h"
@@ -26,25 +27,6 @@
     std::vector<TeamProblem> ignoredTeams = {}; ///< Entries of teams that can't be used.
 };
 
-/// Record of a group's last promotion in the store. Its revision is the fencing token of the
-/// promotion order, so no two orders have the same token.
-struct PromotionRecord
-{
-    std::string service;
-    std::string server; ///< To be promoted; empty if the order was certainly not carried out.
-    std::string holder; ///< Proxy that gives the order.
-    std::string nonce;  ///< Identifies the proxy's own write if the answer to it was lost.
-    /// End of the server's log when it was chosen. A log of an older term that is longer may have
-    /// forked.
-    Position position;
-    std::int64_t revision = 0;
-    /// Newest term when the server was chosen. The promotion ends it: a commit of this term beyond
-    /// \c position is rolled back.
-    Term endedTerm = 0;
-
-    bool operator==(const PromotionRecord &) const = default;
-};
-
 /// Part of a proxy in deciding whether the primary of a group must be replaced.
 struct WitnessRole
 {
@@ -92,8 +74,14 @@
     void serverInvalid(std::string_view id);
     /// Like serverGone(), for the entry of a proxy.
     bool proxyGone(std::string_view name, TimePoint now);
-    /// Stores \a record unless one with the same or a higher revision is known for its service.
-    void promotionSeen(PromotionRecord record);
+    /// The store holds \a record. Returns the newest record of the service that is known, at the
+    /// revision of the one that the store holds: a store that has gone back may have lost it.
+    const PromotionRecord &promotionSeen(const PromotionRecord &record);
+    /// At \a revision the store holds no record of \a service. Returns the newest one that is
+    /// known, as promotionSeen() does; null if there is none.
+    const PromotionRecord *promotionGone(std::string_view service, StoreRevision revision);
+    /// The records that the store has lost, each at the revision of the one that it holds instead.
+    std::vector<PromotionRecord> lostPromotions() const;
 
     /// The proxy \a vm suspects that \a server, the primary of \a service, can't serve.
     void suspicionSeen(std::string_view service, std::string_view vm, std::string_view server);
@@ -119,6 +107,10 @@
     /// from the store. Returns whether any of them were removed here.
     bool endListing(TimePoint now);
 
+    /// The store has gone back to an older copy. Entries that it lacks now are kept until their
+    /// owners have had time to write them again.
+    void storeRestored(TimePoint now) { recoveredAt_ = now; }
+
     /// A call to the store has failed.
     void storeFailed(TimePoint now);
     /// A call to the store has succeeded.
@@ -133,7 +125,7 @@
     std::vector<ServerRegistration> servers() const;
     std::size_t proxyCount() const { return proxies_.size(); }
     std::vector<FleetMember> proxies() const;
-    /// The last promotion of each service.
+    /// The last promotion of each service that is known, as promotionSeen() returns it.
     std::vector<PromotionRecord> promotions() const;
     /// Number of servers and proxies whose entry is missing in the store but still kept here.
     std::size_t heldCount() const;
@@ -146,6 +138,11 @@
         bool listed = true;                 ///< Seen since beginListing().
         std::optional<TimePoint> goneSince; ///< When it was found missing in the store.
     };
+    struct KnownPromotion
+    {
+        PromotionRecord record;
+        bool lost = false; ///< The store holds an older record, or none.
+    };
     template<class Value>
     using Entries = std::map<std::string, Entry<Value>, std::less<>>;
 
@@ -162,11 +159,11 @@
     std::optional<OperatorConfiguration> configuration_;
     Entries<ServerRegistration> servers_;
     Entries<FleetMember> proxies_;
-    std::map<std::string, PromotionRecord, std::less<>> promotions_;
+    std::map<std::string, KnownPromotion, std::less<>> promotions_;
     /// Suspected server by service and proxy.
     std::map<std::string, std::map<std::string, std::string, std::less<>>, std::less<>> suspicions_;
     std::optional<TimePoint> failingSince_; ///< Start of the present outage of the store.
-    TimePoint recoveredAt_;                 ///< End of the last outage.
+    TimePoint recoveredAt_; ///< End of the last outage, or when the store had gone back.
 };
 
 } // namespace shallotwalk
--- a/src/core/feedlog.cpp
+++ b/src/core/feedlog.cpp
@@ -7,12 +7,12 @@
 {
 }
 
-void FeedLog::loadRecords(std::span<const KeyValue> values, std::int64_t revision)
+void FeedLog::loadRecords(std::span<const KeyValue> values, StoreRevision revision)
 {
     records_.reset(values, revision);
 }
 
-void FeedLog::changeRecords(std::span<const FeedChange> changes, std::int64_t revision)
+void FeedLog::changeRecords(std::span<const FeedChange> changes, StoreRevision revision)
 {
     records_.apply(changes, revision);
 }
@@ -20,7 +20,7 @@
 void FeedLog::updateVms(std::span<const KeyValue> vms)
 {
     // One revision per changed VM, so that a page can end after any of them.
-    auto revision = vms_.revision();
+    auto revision = vms_.revision().number();
     if (!vms_.isLoaded())
         vms_.reset({}, ++revision);
     std::map<std::string, std::string, std::less<>> present;
@@ -48,13 +48,17 @@
 
 std::optional<FeedReply> FeedLog::answer(const FeedRequest &request) const
 {
-    const bool news = records_.hasNews(request.records) || vms_.hasNews(request.vms)
+    auto records = request.records;
+    // A follower of a version before eras doesn't tell its own, which normally is the same.
+    if (const auto era = records_.revision().era(); records.revision.era() == 0 && era != 0)
+        setEra(records, era);
+    const bool news = records_.hasNews(records) || vms_.hasNews(request.vms)
                       || request.watchConnected != watchConnected_;
     if (request.hold && !news)
         return std::nullopt;
     FeedReply reply = emptyAnswer(request);
     // Half of the limit each, so that neither waits for the other.
-    reply.records = records_.page(request.records, maxReplyBytes / 2);
+    reply.records = records_.page(records, maxReplyBytes / 2);
     reply.vms = vms_.page(request.vms, maxReplyBytes / 2);
     return reply;
 }
--- a/src/core/feedlog.h
+++ b/src/core/feedlog.h
@@ -18,10 +18,10 @@
     explicit FeedLog(std::uint64_t logId);
 
     /// All owner records as of the store's \a revision, when the watch has been established.
-    void loadRecords(std::span<const KeyValue> values, std::int64_t revision);
+    void loadRecords(std::span<const KeyValue> values, StoreRevision revision);
 
     /// Changes of owner records in the store's order.
-    void changeRecords(std::span<const FeedChange> changes, std::int64_t revision);
+    void changeRecords(std::span<const FeedChange> changes, StoreRevision revision);
 
     /// The list of VMs as last read, one key for each VM.
     void updateVms(std::span<const KeyValue> vms);
@@ -41,7 +41,7 @@
     /// The reply of a VM that doesn't watch the store.
     static FeedReply refusal(const FeedRequest &request);
 
-    std::int64_t revision() const { return records_.revision(); }
+    StoreRevision revision() const { return records_.revision(); }
 
 private:
     FeedAnswer state() const
--- a/src/core/feedmessage.h
+++ b/src/core/feedmessage.h
@@ -21,8 +21,8 @@
 struct FeedCursor
 {
     std::uint64_t log = 0; ///< Revisions of logs with different ids are not comparable.
-    std::int64_t revision = 0;
-    std::int64_t snapshotBase = 0; ///< Not 0 between the pages of a snapshot.
+    StoreRevision revision;
+    StoreRevision snapshotBase; ///< Not StoreRevision() between the pages of a snapshot.
 
     bool operator==(const FeedCursor &) const = default;
 };
@@ -38,6 +38,13 @@
     bool operator==(const FeedPage &) const = default;
 };
 
+/// Sets the era of a cursor from a proxy whose version doesn't know eras. Thread-safe.
+void setEra(FeedCursor &cursor, std::int64_t era);
+
+/// Sets the era of a page, with its changes, from a proxy whose version doesn't know eras.
+/// Thread-safe.
+void setEra(FeedPage &page, std::int64_t era);
+
 /// Asks a watcher of the store for what is newer than the two cursors.
 struct FeedRequest
 {
--- a/src/core/feedview.cpp
+++ b/src/core/feedview.cpp
@@ -29,15 +29,18 @@
     }
 }
 
-std::vector<KeyValue> FeedView::takeRecords(const FeedPage &page)
+std::vector<KeyValue> FeedView::takeRecords(FeedPage page)
 {
+    // A watcher of a version before eras doesn't tell its own, which normally is the same.
+    if (const auto era = records_.revision().era(); page.next.revision.era() == 0 && era != 0)
+        setEra(page, era);
     collect(snapshot_, page);
     if (!snapshot_.active) {
         auto changes = changeRecords(page.changes);
         records_.advanceTo(page.next.revision);
         return changes;
     }
-    if (page.next.snapshotBase != 0)
+    if (page.next.snapshotBase != StoreRevision())
         return {};
     std::vector<KeyValue> values;
     for (const auto &[key, value] : snapshot_.pending)
@@ -49,7 +52,7 @@
 {
     collect(vms_, page);
     if (vms_.active) {
-        if (page.next.snapshotBase != 0)
+        if (page.next.snapshotBase != StoreRevision())
             return false;
         std::vector<KeyValue> vms;
         for (const auto &[key, value] : vms_.pending)
@@ -68,7 +71,8 @@
     return !page.changes.empty();
 }
 
-std::vector<KeyValue> FeedView::loadRecords(std::span<const KeyValue> values, std::int64_t revision)
+std::vector<KeyValue> FeedView::loadRecords(std::span<const KeyValue> values,
+                                            StoreRevision revision)
 {
     snapshot_ = {};
     return records_.applyRead(values, revision).value_or(std::vector<KeyValue>{});
@@ -94,7 +98,7 @@
 
 FeedCursor FeedView::recordsCursor() const
 {
-    return snapshot_.active ? snapshot_.cursor : FeedCursor{0, records_.revision(), 0};
+    return snapshot_.active ? snapshot_.cursor : FeedCursor{0, records_.revision(), {}};
 }
 
 } // namespace shallotwalk
--- a/src/core/feedview.h
+++ b/src/core/feedview.h
@@ -27,13 +27,13 @@
 
     /// Takes all owner records as of \a revision, as read by this VM. A read that is older than the
     /// view changes nothing. Returns the keys that differ.
-    std::vector<KeyValue> loadRecords(std::span<const KeyValue> values, std::int64_t revision);
+    std::vector<KeyValue> loadRecords(std::span<const KeyValue> values, StoreRevision revision);
 
     /// Takes changes that this VM's watch has reported; returns those that are new.
     std::vector<KeyValue> changeRecords(std::span<const FeedChange> changes);
 
     /// No record has changed between the last known change and \a revision.
-    void advanceRecords(std::int64_t revision) { records_.advanceTo(revision); }
+    void advanceRecords(StoreRevision revision) { records_.advanceTo(revision); }
 
     /// Takes a list of VMs that this VM has read; returns whether it differs.
     bool loadVms(std::span<const KeyValue> vms);
@@ -42,8 +42,8 @@
     const FeedCursor &vmsCursor() const { return vms_.cursor; }
 
     /// True once the owner records have been received completely.
-    bool hasRecords() const { return records_.revision() != 0; }
-    std::int64_t revision() const { return records_.revision(); }
+    bool hasRecords() const { return records_.revision() != StoreRevision(); }
+    StoreRevision revision() const { return records_.revision(); }
     std::vector<KeyValue> records() const { return records_.values(); }
 
     bool hasVms() const { return hasVms_; }
@@ -62,7 +62,7 @@
     };
 
     static void collect(Transfer &transfer, const FeedPage &page);
-    std::vector<KeyValue> takeRecords(const FeedPage &page);
+    std::vector<KeyValue> takeRecords(FeedPage page);
     bool takeVms(const FeedPage &page);
 
     WatchView records_;
--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -350,7 +350,7 @@
     std::vector<std::string> blockedBy_;
     std::uint32_t confirmReplicas_ = 0;
     Term pauseTerm_ = 0;                           ///< See pauseTerm().
-    std::optional<PromotionRecord> lastPromotion_; ///< Record with the highest revision.
+    std::optional<PromotionRecord> lastPromotion_; ///< The newest record.
     bool primarySuspected_ = false;
     std::string suspicion_;
     std::vector<std::string> suspicions_; ///< Primaries that the other witnesses suspect.
--- a/src/core/groupscheduler_promotion.cpp
+++ b/src/core/groupscheduler_promotion.cpp
@@ -251,9 +251,11 @@
 
 void GroupScheduler::promotionSeen(const PromotionRecord &record, TimePoint now)
 {
-    if (lastPromotion_ && lastPromotion_->revision >= record.revision)
+    if (!lastPromotion_)
+        lastPromotion_ = record;
+    else if (lastPromotion_->revision >= record.revision
+             || !mergePromotion(record, *lastPromotion_))
         return;
-    lastPromotion_ = record;
     if (record.server.empty()) {
         planner_.orderWithdrawn(now);
         return;
--- a/src/core/keyvalue.h
+++ b/src/core/keyvalue.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <cstdint>
+#include "core/storerevision.h"
+
 #include <string>
 
 namespace shallotwalk {
@@ -10,7 +11,8 @@
 {
     std::string key;
     std::string value;
-    std::int64_t modRevision = 0; ///< Store revision of its last change; 0 for an absent key.
+    /// Store revision of its last change; its number is 0 for an absent key.
+    StoreRevision modRevision;
 
     bool operator==(const KeyValue &) const = default;
 };
--- a/src/core/store/directorysource.cpp
+++ b/src/core/store/directorysource.cpp
@@ -59,13 +59,14 @@
     return followed ? settings_.followedWatchWait : settings_.watchWait;
 }
 
-void DirectorySource::listed(std::span<const KeyValue> items, std::int64_t revision)
+std::vector<KeyValue> DirectorySource::listed(std::span<const KeyValue> items,
+                                              StoreRevision revision)
 {
-    view_.loadRecords(items, revision);
+    return view_.loadRecords(items, revision);
 }
 
 std::vector<KeyValue> DirectorySource::changed(std::span<const FeedChange> changes,
-                                               std::int64_t revision)
+                                               StoreRevision revision)
 {
     auto news = view_.changeRecords(changes);
     view_.advanceRecords(revision);
--- a/src/core/store/directorysource.h
+++ b/src/core/store/directorysource.h
@@ -52,12 +52,21 @@
     /// and are never watchers.
     void setMembers(std::span<const FleetMember> members, TimePoint now);
 
-    /// This proxy has listed the whole store, as of \a revision.
-    void listed(std::span<const KeyValue> items, std::int64_t revision);
+    /// This proxy has listed the whole store, as of \a revision. Returns the changes that are new,
+    /// as in changed().
+    std::vector<KeyValue> listed(std::span<const KeyValue> items, StoreRevision revision);
 
     /// This proxy's own watch has reported all changes up to \a revision. Returns those that are
-    /// new; a deleted key has mod revision 0.
-    std::vector<KeyValue> changed(std::span<const FeedChange> changes, std::int64_t revision);
+    /// new; a deleted key has mod revision 0. \pre continuesAt(\a revision).
+    std::vector<KeyValue> changed(std::span<const FeedChange> changes, StoreRevision revision);
+
+    /// Returns whether the changes up to \a revision, which this proxy's watch has reported, follow
+    /// those that are known. If the store has gone back to an older copy, they don't, and it must
+    /// be listed again.
+    bool continuesAt(StoreRevision revision) const
+    {
+        return revision.era() == view_.revision().era();
+    }
 
     /// Returns the request to send now, if any. The next one follows after answered() or failed().
     std::optional<SourceRequest> takeRequest(TimePoint now);
@@ -87,7 +96,7 @@
     const std::string &watcher() const { return role_.source(); }
 
     /// Returns the store revision up to which the items are known.
-    std::int64_t revision() const { return view_.revision(); }
+    StoreRevision revision() const { return view_.revision(); }
 
     /// Returns all items of the store.
     std::vector<KeyValue> items() const { return view_.records(); }
--- a/src/core/watchview.cpp
+++ b/src/core/watchview.cpp
@@ -5,7 +5,7 @@
 namespace shallotwalk {
 
 std::optional<std::vector<KeyValue>> WatchView::applyRead(std::span<const KeyValue> values,
-                                                          std::int64_t revision)
+                                                          StoreRevision revision)
 {
     if (revision < revision_)
         return std::nullopt;
--- a/src/core/watchview.h
+++ b/src/core/watchview.h
@@ -3,7 +3,6 @@
 #include "core/feedmessage.h"
 
 #include <algorithm>
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
@@ -13,7 +12,8 @@
 namespace shallotwalk {
 
 /// The keys under a watched prefix as last reported. Merges reads and watch events so that no
-/// subscriber gets an older revision of a key after a newer one. Not thread-safe.
+/// subscriber gets an older revision of a key after a newer one. After a change of the store's era
+/// the watch can't be continued; the prefix must be read again. Not thread-safe.
 class WatchView
 {
 public:
@@ -21,7 +21,7 @@
     /// differ from the view; a key that is gone has mod revision 0. Returns nothing when the read
     /// is older than the view: it must be repeated.
     std::optional<std::vector<KeyValue>> applyRead(std::span<const KeyValue> values,
-                                                   std::int64_t revision);
+                                                   StoreRevision revision);
 
     /// Takes the events of one watch message, in the order of the store. \a deleted tells for each
     /// change whether the key is gone. Returns the changes that the view doesn't include yet.
@@ -33,16 +33,16 @@
     std::vector<KeyValue> applyChanges(std::span<const FeedChange> changes);
 
     /// Tells that no key has changed between the last applied change and \a revision.
-    void advanceTo(std::int64_t revision) { revision_ = std::max(revision_, revision); }
+    void advanceTo(StoreRevision revision) { revision_ = std::max(revision_, revision); }
 
     /// Store revision up to which the view is complete; a watch continues after it.
-    std::int64_t revision() const { return revision_; }
+    StoreRevision revision() const { return revision_; }
 
     /// All present keys.
     std::vector<KeyValue> values() const;
 
 private:
-    std::int64_t revision_ = 0;
+    StoreRevision revision_;
     std::map<std::string, KeyValue, std::less<>> entries_;
 };
 
--- a/src/databases/databasesmanager.cpp
+++ b/src/databases/databasesmanager.cpp
@@ -121,11 +121,11 @@
             auto &known = records_[pool];
             if (known.revision >= value.modRevision)
                 return {};
-            known = {record, value.modRevision};
+            known = {record, value.modRevision.number()};
             send(context_.dispatcher, OwnerUpdate{pool, record.epoch, record.owner});
             const auto found = ownerships_.find(pool);
             if (found != ownerships_.end() && found->second)
-                send(found->second, OwnerRecordNotice{record, value.modRevision});
+                send(found->second, OwnerRecordNotice{record, value.modRevision.number()});
             if (!draining_ && pools_.contains(pool))
                 reviewPool(pool);
             return {};
--- a/src/databases/ownershipactor.cpp
+++ b/src/databases/ownershipactor.cpp
@@ -186,7 +186,8 @@
         [&]() -> Result<void> {
             BOOST_LEAF_AUTO(record, decodeOwnerRecord(value.value));
             send(context_.manager, RecordRead{context_.pool, record.epoch});
-            update(machine_.recordSeen(record, value.modRevision, RecordSource::StoreRead, now()));
+            update(machine_.recordSeen(record, value.modRevision.number(), RecordSource::StoreRead,
+                                       now()));
             return {};
         },
         [&](const Failure &failure) {
--- a/src/feed/feedactor.cpp
+++ b/src/feed/feedactor.cpp
@@ -447,7 +447,7 @@
                          isConnected() ? 1 : 0)
             + metricText("shallotwalk_feed_revision", "gauge",
                          "Store revision of the owner records known here.",
-                         static_cast<std::uint64_t>(view_.revision()))
+                         static_cast<std::uint64_t>(view_.revision().number()))
             + metricText("shallotwalk_feed_answer_age_ms", "gauge",
                          "Time since the last answer of a watcher; 0 while watching.",
                          static_cast<std::uint64_t>(answerAgeMs()))
@@ -457,11 +457,16 @@
 
 boost::json::value FeedActor::state() const
 {
-    return boost::json::object{{"role", roleName()},           {"watcher", role_.source()},
-                               {"watching", watching_},        {"connected", isConnected()},
-                               {"revision", view_.revision()}, {"records", view_.records().size()},
-                               {"vms", vms_.size()},           {"lastAnswerAgeMs", answerAgeMs()},
-                               {"heldRequests", held_.size()}, {"answers", requestsAnswered_}};
+    return boost::json::object{{"role", roleName()},
+                               {"watcher", role_.source()},
+                               {"watching", watching_},
+                               {"connected", isConnected()},
+                               {"revision", view_.revision().number()},
+                               {"records", view_.records().size()},
+                               {"vms", vms_.size()},
+                               {"lastAnswerAgeMs", answerAgeMs()},
+                               {"heldRequests", held_.size()},
+                               {"answers", requestsAnswered_}};
 }
 
 } // namespace shallotwalk
--- a/src/gateway/directoryactor.cpp
+++ b/src/gateway/directoryactor.cpp
@@ -13,6 +13,7 @@
 using RetryList = caf::atom_constant<caf::atom("rtry_list")>;
 using RetryWatch = caf::atom_constant<caf::atom("rtry_watch")>;
 using RenewLease = caf::atom_constant<caf::atom("renew")>;
+using RestorePromotions = caf::atom_constant<caf::atom("restore")>;
 using ExpireEntries = caf::atom_constant<caf::atom("expire")>;
 
 /// Empty, so that one listing and one watch cover all keys of the store.
@@ -47,10 +48,14 @@
         [this](RenewLease, std::uint64_t number) {
             if (number != renewalNumber_)
                 return; // A later renewal has been scheduled since.
-            if (lease_ == 0)
-                joinFleet();
-            else
+            if (leaseHolds())
                 renew();
+            else
+                joinFleet();
+        },
+        [this](RestorePromotions) {
+            restoring_ = false;
+            restorePromotions();
         },
         [this](ExpireEntries) {
             expiryScheduled_ = false;
@@ -89,6 +94,13 @@
                 }
                 boost::leaf::try_handle_all(
                     [&]() -> Result<void> {
+                        BOOST_LEAF_AUTO(era, context_.protocols.store->decodeEra(result.response));
+                        if (era < era_) {
+                            return boost::leaf::new_error(
+                                Failure{ErrorCode::BadRequest, Verdict::MayHaveRun,
+                                        "the answer is of an earlier era of the store"});
+                        }
+                        noteEra(era);
                         BOOST_LEAF_AUTO(value, decode(result.response));
                         handleStoreAnswer();
                         handle(value);
@@ -113,7 +125,7 @@
 {
     if (after.empty()) {
         directory_.beginListing();
-        listRevision_ = 0;
+        listRevision_ = {};
         listItems_.clear();
     }
     auto call = context_.protocols.store->list(watchedPrefix, after);
@@ -128,6 +140,10 @@
 
 void DirectoryActor::handlePage(StorePage page)
 {
+    if (listRevision_ != StoreRevision() && listRevision_.era() != page.revision.era()) {
+        list({}); // The pages before are of an earlier era.
+        return;
+    }
     for (auto &item : page.items) {
         removeKeys(item);
         applyItem(item);
@@ -135,20 +151,25 @@
     listItems_.insert(listItems_.end(), page.items.begin(), page.items.end());
     // The pages are not one snapshot: changes after the first page are reported by the watch, which
     // starts at the revision of that page.
-    if (listRevision_ == 0)
+    if (listRevision_ == StoreRevision())
         listRevision_ = page.revision;
     if (page.more && !page.items.empty()) {
         list(page.items.back().key);
         return;
     }
     pacer_.succeeded();
+    if (listed_ && !source_->continuesAt(listRevision_))
+        directory_.storeRestored(context_.clock->now());
     directoryChanged_ = directory_.endListing(context_.clock->now()) || directoryChanged_;
-    source_->listed(std::exchange(listItems_, {}), listRevision_);
+    for (const auto &item : source_->listed(std::exchange(listItems_, {}), listRevision_)) {
+        if (item.modRevision == StoreRevision() && item.key.starts_with(promotionsPrefix))
+            applyRemoval(item.key);
+    }
     listed_ = true;
     if (watching_)
         loadFeed();
     spdlog::info("event=directory_read revision={} servers={} proxies={} configuration={}",
-                 listRevision_, directory_.servers().size(), directory_.proxyCount(),
+                 toString(listRevision_), directory_.servers().size(), directory_.proxyCount(),
                  directory_.configuration() ? directory_.configuration()->tables->version : 0);
     directoryChanged_ = true;
     publish();
@@ -188,7 +209,13 @@
 void DirectoryActor::handleChanges(StoreChanges changes)
 {
     if (changes.historyLost) {
-        spdlog::warn("event=store_history_lost revision={}", source_->revision());
+        spdlog::warn("event=store_history_lost revision={}", toString(source_->revision()));
+        list({});
+        return;
+    }
+    if (!source_->continuesAt(changes.revision)) {
+        spdlog::warn("event=store_watch_outdated revision={} store_revision={}",
+                     toString(source_->revision()), toString(changes.revision));
         list({});
         return;
     }
@@ -235,8 +262,8 @@
             return {};
         },
         [&](const Failure &failure) {
-            spdlog::warn("event=configuration_unreadable revision={} reason={}", item.modRevision,
-                         logValue(failure.message));
+            spdlog::warn("event=configuration_unreadable revision={} reason={}",
+                         toString(item.modRevision), logValue(failure.message));
             item.value.clear();
         },
         [&] { item.value.clear(); });
@@ -270,7 +297,7 @@
                     directoryChanged_ = true;
                     configurationTakenAt_ = context_.clock->now();
                     spdlog::info("event=configuration_taken version={} revision={}", version,
-                                 item.modRevision);
+                                 toString(item.modRevision));
                     logIgnoredTeams(*directory_.configuration());
                 }
             } else if (key.starts_with(format.serversPrefix())) {
@@ -281,7 +308,8 @@
                     spdlog::info("event=server_entry server={} service={} address={}:{} "
                                  "primary={} leaving={} revision={}",
                                  logValue(server.id), logValue(server.service), server.host,
-                                 server.port, server.primary, server.leaving, item.modRevision);
+                                 server.port, server.primary, server.leaving,
+                                 toString(item.modRevision));
                 }
             } else if (key.starts_with(proxiesPrefix)) {
                 // Any entry shows that the proxy lives, even one of a version without an address.
@@ -294,8 +322,7 @@
                 changedSuspicions_.emplace(service);
             } else if (key.starts_with(promotionsPrefix)) {
                 BOOST_LEAF_AUTO(record, decodePromotion(item.value, item.modRevision));
-                directory_.promotionSeen(record);
-                self_->send(context_.groups, PromotionRecorded{std::move(record)});
+                reportPromotion(directory_.promotionSeen(record));
             }
             invalidEntries_.remove(key);
             return {};
@@ -312,7 +339,7 @@
         directory_.serverInvalid(key.substr(prefix.size()));
     if (invalidEntries_.add(key)) {
         spdlog::warn("event=store_entry_ignored key={} revision={} reason={}", logValue(key),
-                     item.modRevision, logValue(reason));
+                     toString(item.modRevision), logValue(reason));
     }
 }
 
@@ -330,7 +357,7 @@
         const auto vm = key.substr(proxiesPrefix.size());
         directoryChanged_ = directory_.proxyGone(vm, now) || directoryChanged_;
         // The store may lose the key although its lease is still valid.
-        if (vm == context_.self.vm && lease_ != 0 && !leaving_) {
+        if (vm == context_.self.vm && leaseHolds() && !leaving_) {
             spdlog::warn("event=fleet_entry_lost lease={}", lease_);
             writeFleetEntry();
         }
@@ -338,9 +365,70 @@
         const auto [service, vm] = parseSuspicionKey(key);
         directory_.suspicionGone(service, vm);
         changedSuspicions_.emplace(service);
+    } else if (key.starts_with(promotionsPrefix)) {
+        const auto service = key.substr(promotionsPrefix.size());
+        const StoreRevision absent(0, source_->revision().era());
+        if (const auto *record = directory_.promotionGone(service, absent))
+            reportPromotion(*record);
     }
 }
 
+/// Handles that the store has answered in \a era.
+void DirectoryActor::noteEra(std::int64_t era)
+{
+    if (era <= era_)
+        return;
+    const auto previous = std::exchange(era_, era);
+    if (!listed_)
+        return;
+    spdlog::warn("event=store_went_back era={} previous={} revision={}", era, previous,
+                 toString(source_->revision()));
+    // The copy may lack this proxy's lease and entry, or the lease may be granted to another proxy.
+    const auto spread = static_cast<std::uint64_t>(context_.rejoinSpread.count());
+    scheduleRenewal(Duration(rendezvousWeight("rejoin", context_.self.vm) % spread));
+}
+
+/// Passes on \a record, and has it written again if the store has lost it.
+void DirectoryActor::reportPromotion(const PromotionRecord &record)
+{
+    self_->send(context_.groups, PromotionRecorded{record});
+    scheduleRestoring();
+}
+
+void DirectoryActor::scheduleRestoring()
+{
+    if (restoring_ || directory_.lostPromotions().empty())
+        return;
+    restoring_ = true;
+    self_->delayed_send(self_, context_.restoreInterval, RestorePromotions::value);
+}
+
+/// Writes the promotion records again that the store has lost: a proxy that starts later learns
+/// from them what has been promoted. Each is written only over the record that the store holds.
+void DirectoryActor::restorePromotions()
+{
+    for (const auto &record : directory_.lostPromotions()) {
+        if (!directory_.witnessRole(record.service, context_.self.vm).witness)
+            continue;
+        spdlog::warn("event=promotion_record_restored service={} server={} number={} revision={}",
+                     logValue(record.service), logValue(record.server), record.number,
+                     toString(record.revision));
+        auto call = context_.protocols.store->write(std::string(promotionsPrefix) + record.service,
+                                                    encodePromotion(record), 0, record.revision);
+        call.timeout = context_.callTimeout;
+        this->call(
+            context_.storeCaller, "restore", std::move(call),
+            [this](const HttpResponse &response) {
+                return context_.protocols.store->decodeWrite(response);
+            },
+            [](const StoreWrite &) {}, &DirectoryActor::restoreFailed);
+    }
+    scheduleRestoring();
+}
+
+/// Nothing to do: the records are written again until the store is known to hold them.
+void DirectoryActor::restoreFailed() {}
+
 void DirectoryActor::joinFleet()
 {
     if (leaving_)
@@ -354,6 +442,7 @@
         },
         [this](std::uint64_t lease) {
             lease_ = lease;
+            leaseEra_ = era_;
             writeFleetEntry();
         },
         &DirectoryActor::leaseFailed);
@@ -408,13 +497,15 @@
 
 void DirectoryActor::scheduleRenewal(Duration delay)
 {
+    if (lease_ != 0 && !leaseHolds())
+        delay = std::min(delay, context_.rejoinSpread);
     self_->delayed_send(self_, delay, RenewLease::value, ++renewalNumber_);
 }
 
 void DirectoryActor::leaveFleet()
 {
     leaving_ = true;
-    if (lease_ == 0)
+    if (!leaseHolds())
         return;
     auto call = context_.protocols.store->endLease(std::exchange(lease_, 0));
     call.timeout = context_.callTimeout;
@@ -566,7 +657,8 @@
 StateDump DirectoryActor::dump() const
 {
     return {boost::json::object{
-        {"revision", source_->revision()},
+        {"revision", toString(source_->revision())},
+        {"era", era_},
         {"watchesStore", watching_},
         {"watcher", source_->watcher()},
         {"storeAvailable", directory_.storeAvailable()},
--- a/src/gateway/directoryactor.h
+++ b/src/gateway/directoryactor.h
@@ -42,12 +42,21 @@
     Duration leaseDuration{std::chrono::milliseconds(6000)};
     /// Time between two renewals of the lease.
     Duration leaseRenewal{std::chrono::milliseconds(2000)};
+    /// Time after the store has gone back to an older copy over which the proxies register anew,
+    /// so that they don't all call it at once.
+    Duration rejoinSpread{std::chrono::milliseconds(1000)};
+    /// Time between two attempts to write promotion records that the store has lost.
+    Duration restoreInterval{std::chrono::milliseconds(1000)};
 };
 
 /// State of the broker that keeps the Directory up to date: it lists the store once, then watches
 /// it from the revision of the listing, or asks another proxy that does, as DirectorySource
 /// decides. It also registers this proxy in the fleet by an entry in
 /// the store that is bound to a lease.
+///
+/// The store may go back to an older copy, with which a new era begins. What is known stays in
+/// force until the entries of the new era have been read. Then this proxy registers anew, and
+/// witnesses write promotion records again that the copy lacks.
 class DirectoryActor
 {
 public:
@@ -90,6 +99,12 @@
     void applyItem(const KeyValue &item);
     void applyInvalidItem(const KeyValue &item, std::string_view reason);
     void applyRemoval(std::string_view key);
+    void noteEra(std::int64_t era);
+    void reportPromotion(const PromotionRecord &record);
+    void scheduleRestoring();
+    void restorePromotions();
+    void restoreFailed();
+    bool leaseHolds() const { return lease_ != 0 && leaseEra_ == era_; }
     void joinFleet();
     void writeFleetEntry();
     void renew();
@@ -112,7 +127,7 @@
     DirectoryContext context_;
     Directory directory_;
     std::optional<DirectorySource> source_;
-    std::int64_t listRevision_ = 0;   ///< Revision of the first page of the listing in progress.
+    StoreRevision listRevision_;      ///< Revision of the first page of the listing in progress.
     std::vector<KeyValue> listItems_; ///< Items of the listing in progress.
     bool listed_ = false;             ///< The store has been listed completely.
     /// A listing, a watch, or the delay before one is in progress.
@@ -120,7 +135,10 @@
     bool watching_ = false; ///< As last decided by the source.
     /// When the source is to be reviewed; messages for later times are ignored.
     TimePoint sourceDueAt_ = TimePoint::max();
-    std::uint64_t lease_ = 0; ///< Lease of this proxy's fleet entry; 0: none.
+    std::int64_t era_ = 0;      ///< Newest era of the store that was heard of.
+    std::uint64_t lease_ = 0;   ///< Lease of this proxy's fleet entry; 0: none.
+    std::int64_t leaseEra_ = 0; ///< Era of the store that granted it.
+    bool restoring_ = false;    ///< A RestorePromotions message is scheduled.
     /// Number of the latest scheduled renewal; messages for earlier ones are ignored.
     std::uint64_t renewalNumber_ = 0;
     /// Services whose suspicions have changed since the last publication.
--- a/src/gateway/directoryactor_source.cpp
+++ b/src/gateway/directoryactor_source.cpp
@@ -43,7 +43,7 @@
         return;
     watching_ = watching;
     spdlog::info("event=store_source watching={} watcher={} revision={}", watching,
-                 logValue(source_->watcher()), source_->revision());
+                 logValue(source_->watcher()), toString(source_->revision()));
     if (!watching) {
         self_->send(context_.feed, FeedStopped{});
         return;
@@ -107,7 +107,12 @@
     for (auto &change : reply.records.changes)
         removeKeys(change.entry);
     const auto now = context_.clock->now();
+    const auto era = source_->revision().era();
     const auto news = source_->answered(watcher, reply, now);
+    if (source_->revision().era() != era) {
+        directory_.storeRestored(now);
+        noteEra(source_->revision().era());
+    }
     // What the watcher knows of the store decides whether missing entries are kept, so it comes
     // before the changes. A watch of this proxy's own shows more than that of a watcher.
     if (reply.answer == FeedAnswer::Watching)
@@ -129,7 +134,7 @@
 void DirectoryActor::applyNews(std::span<const KeyValue> news)
 {
     for (const auto &item : news) {
-        if (item.modRevision == 0)
+        if (item.modRevision == StoreRevision())
             applyRemoval(item.key);
         else
             applyItem(item);
--- a/src/gateway/feedserver.cpp
+++ b/src/gateway/feedserver.cpp
@@ -100,7 +100,7 @@
 StateDump FeedServer::dump() const
 {
     return {boost::json::object{{"serving", serving_},
-                                {"revision", log_.revision()},
+                                {"revision", toString(log_.revision())},
                                 {"held", held_.size()},
                                 {"answered", answered_},
                                 {"refused", refused_}}};
--- a/src/gateway/groupactor.cpp
+++ b/src/gateway/groupactor.cpp
@@ -65,6 +65,7 @@
         [this](const GroupConfigured &message) { configure(message); },
         [this](const PromotionRecorded &message) {
             recordRevision_ = std::max(recordRevision_, message.record.revision);
+            recordNumber_ = std::max(recordNumber_, message.record.number);
             scheduler_->promotionSeen(message.record, context_.clock->now());
             updateTimerAndReportChanges();
         },
@@ -321,7 +322,7 @@
     spdlog::warn("event=promotion_wanted service={} server={} position={} ended_term={} reason={}",
                  logValue(choice.service), logValue(choice.server),
                  logValue(toText(choice.position)), choice.endedTerm, choice.reason);
-    self_->send(context_.promotions, OrderPromotion{choice, recordRevision_});
+    self_->send(context_.promotions, OrderPromotion{choice, recordRevision_, recordNumber_ + 1});
 }
 
 StateDump GroupActor::dump() const
--- a/src/gateway/groupactor.h
+++ b/src/gateway/groupactor.h
@@ -85,10 +85,11 @@
     TimePoint timerDueAt_ = TimePoint::max(); ///< Newest timer's expiry; max() after any expired.
     /// Latencies of statements by outcome: "ok" or the error code.
     std::map<std::string, LatencySummary, std::less<>> latencies_;
-    LatencySummary queueTimes_;       ///< Time from receipt of a statement to its first sending.
-    bool reportedServing_ = false;    ///< Serving state last reported to the manager.
-    std::string loggedPrimary_;       ///< Primary last logged; empty if none is known.
-    std::int64_t recordRevision_ = 0; ///< Newest promotion revision that the scheduler knows.
+    LatencySummary queueTimes_;      ///< Time from receipt of a statement to its first sending.
+    bool reportedServing_ = false;   ///< Serving state last reported to the manager.
+    std::string loggedPrimary_;      ///< Primary last logged; empty if none is known.
+    StoreRevision recordRevision_;   ///< Of the promotion record that the store holds.
+    std::uint64_t recordNumber_ = 0; ///< Of the newest promotion record that is known.
     std::vector<std::string> loggedBlockedBy_; ///< Replicas last logged as blocking a promotion.
     Term loggedPauseTerm_ = 0; ///< Pause term last logged; 0: replicas need not pause.
 };
--- a/src/gateway/httpcaller.cpp
+++ b/src/gateway/httpcaller.cpp
@@ -157,6 +157,8 @@
         return;
     HttpCallResult result;
     result.response.status = parser.get().result_int();
+    for (const auto &field : parser.get())
+        result.response.headers.emplace_back(field.name_string(), field.value());
     result.response.body = std::move(parser.get().body());
     const bool keepAlive = parser.get().keep_alive();
     parser_.reset();
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -46,14 +46,14 @@
 struct FeedLoaded
 {
     std::vector<KeyValue> items;
-    std::int64_t revision = 0;
+    StoreRevision revision;
 };
 
 /// Changes of the store up to a revision, in the store's order.
 struct FeedChanged
 {
     std::vector<FeedChange> changes;
-    std::int64_t revision = 0;
+    StoreRevision revision;
 };
 
 /// Whether this proxy's watch of the store is established.
@@ -124,10 +124,11 @@
 struct OrderPromotion
 {
     PromotionChoice choice;
-    /// Revision of the newest promotion record known when the choice was made; 0: none. If the
-    /// store holds a newer record, the chosen server's log may still contain transactions that the
-    /// newer promotion rolled back.
-    std::int64_t recordRevision = 0;
+    /// Revision of the newest promotion record known when the choice was made; number 0: none. If
+    /// the store holds a newer record, the chosen server's log may still contain transactions that
+    /// the newer promotion rolled back.
+    StoreRevision recordRevision;
+    std::uint64_t recordNumber = 0; ///< For the order's record; see PromotionRecord::number.
 };
 
 /// Asks the group of a choice that has been recorded whether the choice still holds. The promotion
--- a/src/gateway/promotionactor.cpp
+++ b/src/gateway/promotionactor.cpp
@@ -48,19 +48,19 @@
     const auto &service = message.choice.service;
     if (orders_.contains(service))
         return;
-    orders_[service] = {message.choice, nextNonce(), 0, 0};
-    writeRecord(service, message.recordRevision);
+    orders_[service] = {message.choice, message.recordRevision, message.recordNumber, nextNonce()};
+    writeRecord(service);
 }
 
-void PromotionActor::writeRecord(const std::string &service, std::int64_t expectedRevision)
+void PromotionActor::writeRecord(const std::string &service)
 {
     const auto &order = orders_.at(service);
     const PromotionRecord record{
-        service, order.choice.server,   context_.vm, order.nonce, order.choice.position,
-        0,       order.choice.endedTerm};
+        service, order.choice.server,    context_.vm, order.nonce, order.choice.position,
+        {},      order.choice.endedTerm, order.number};
     const auto key = std::string(promotionsPrefix) + service;
     call(context_.storeCaller,
-         context_.protocols.store->write(key, encodePromotion(record), 0, expectedRevision),
+         context_.protocols.store->write(key, encodePromotion(record), 0, order.replaced),
          context_.storeTimeout, [this, service](const HttpResponse &response) {
              if (response.status == 0) {
                  verifyRecord(service);
@@ -120,13 +120,21 @@
          });
 }
 
-/// Has the group confirm its choice, which has been recorded with the revision \a token.
-void PromotionActor::recorded(const std::string &service, std::int64_t token)
+/// Has the group confirm its choice, which has been recorded at \a revision.
+void PromotionActor::recorded(const std::string &service, StoreRevision revision)
 {
     auto &order = orders_.at(service);
-    order.token = token;
-    self_->send(context_.groups, ConfirmPromotion{order.choice, token});
-    self_->delayed_send(self_, context_.confirmTimeout, PromotionConfirmed{service, token, false});
+    order.revision = revision;
+    order.token = revision.fencingToken();
+    if (order.replaced.number() != 0 && order.replaced.era() != revision.era()) {
+        // The revision may have been given out again, for a record that the choice didn't consider.
+        withdraw(order);
+        fail(service, "the store has gone back to an older copy");
+        return;
+    }
+    self_->send(context_.groups, ConfirmPromotion{order.choice, order.token});
+    self_->delayed_send(self_, context_.confirmTimeout,
+                        PromotionConfirmed{service, order.token, false});
 }
 
 void PromotionActor::handleConfirmation(const PromotionConfirmed &message)
@@ -177,10 +185,11 @@
 void PromotionActor::withdraw(const Order &order)
 {
     const auto &service = order.choice.service;
-    const PromotionRecord record{service, {}, context_.vm, order.nonce, {}, 0};
+    const PromotionRecord record{service, {}, context_.vm, order.nonce,
+                                 {},      {}, 0,           order.number + 1};
     call(context_.storeCaller,
          context_.protocols.store->write(std::string(promotionsPrefix) + service,
-                                         encodePromotion(record), 0, order.token),
+                                         encodePromotion(record), 0, order.revision),
          context_.storeTimeout, [service](const HttpResponse &response) {
              spdlog::info("event=promotion_withdrawn service={} store_status={}", logValue(service),
                           response.status);
--- a/src/gateway/promotionactor.h
+++ b/src/gateway/promotionactor.h
@@ -32,11 +32,11 @@
 };
 
 /// State of the actor that carries out promotions. An order is first recorded in the store, on the
-/// condition that the record which its choice was based on is still the current one. The revision
-/// of the new record is the order's fencing token. So only one of several proxies that decide at
-/// the same time gives its order, each token belongs to one choice, and an order that is carried
-/// out late can't undo a later one. The group confirms its choice once it has been recorded, since
-/// the store may have taken long.
+/// condition that the record which its choice was based on is still the current one. The order's
+/// fencing token is made of the revision of the new record. So only one of several proxies that
+/// decide at the same time gives its order, each token belongs to one choice, and an order that is
+/// carried out late can't undo a later one. The group confirms its choice once it has been
+/// recorded, since the store may have taken long.
 class PromotionActor
 {
 public:
@@ -55,17 +55,20 @@
     struct Order
     {
         PromotionChoice choice;
-        std::string nonce;      ///< Identifies the record of this order.
-        std::int64_t token = 0; ///< Fencing token; 0: not recorded yet.
+        StoreRevision replaced;      ///< Revision of the record that the order's replaces.
+        std::uint64_t number = 0;    ///< Of the order's record.
+        std::string nonce = {};      ///< Identifies the record of this order.
+        StoreRevision revision = {}; ///< Of the order's record, once that is written.
+        std::int64_t token = 0;      ///< Fencing token; 0: not recorded yet.
         unsigned attempts = 0;
     };
 
     caf::behavior start(PromotionContext context);
     void startOrder(const OrderPromotion &message);
-    void writeRecord(const std::string &service, std::int64_t expectedRevision);
+    void writeRecord(const std::string &service);
     void verifyRecord(const std::string &service);
     void reportRecord(const PromotionRecord &record);
-    void recorded(const std::string &service, std::int64_t token);
+    void recorded(const std::string &service, StoreRevision revision);
     void handleConfirmation(const PromotionConfirmed &message);
     void sendOrder(const std::string &service);
     void withdraw(const Order &order);
--- a/src/gateway/protocols.h
+++ b/src/gateway/protocols.h
@@ -108,8 +108,8 @@
 struct StorePage
 {
     std::vector<KeyValue> items;
-    std::int64_t revision = 0; ///< Revision of the store.
-    bool more = false;         ///< Further pages follow.
+    StoreRevision revision; ///< Revision of the store.
+    bool more = false;      ///< Further pages follow.
 };
 
 /// Answer to a watch: the changes since a revision.
@@ -121,15 +121,15 @@
         bool deleted = false;
     };
     std::vector<Change> changes;
-    std::int64_t revision = 0; ///< Revision up to which the changes are complete.
-    bool historyLost = false;  ///< The requested revision is too old; a new listing is needed.
+    StoreRevision revision;   ///< Revision up to which the changes are complete.
+    bool historyLost = false; ///< The requested revision is too old; a new listing is needed.
 };
 
 /// Outcome of a write or a removal.
 struct StoreWrite
 {
     bool written = false;
-    std::int64_t revision = 0; ///< Revision of the written key.
+    StoreRevision revision; ///< Revision of the written key.
     /// After a conflict: the current item, if the key exists.
     std::optional<KeyValue> conflictingItem;
     bool leaseLost = false; ///< Nothing was written because the lease has ended.
@@ -143,12 +143,17 @@
 public:
     virtual ~StoreProtocol() = default;
 
+    /// Returns the era of the store when it gave \a response; 0 if it names none. Each answer names
+    /// it, whatever its status.
+    virtual Result<std::int64_t> decodeEra(const HttpResponse &response) const = 0;
+
     /// Lists the items whose keys begin with \a prefix and sort after \a after.
     virtual HttpCall list(std::string_view prefix, std::string_view after) const = 0;
     virtual Result<StorePage> decodePage(const HttpResponse &response) const = 0;
 
     /// Waits, at most for \a wait, for changes after \a revision to keys that begin with \a prefix.
-    virtual HttpCall watch(std::string_view prefix, std::int64_t revision, Duration wait) const = 0;
+    virtual HttpCall watch(std::string_view prefix, StoreRevision revision,
+                           Duration wait) const = 0;
     virtual Result<StoreChanges> decodeChanges(const HttpResponse &response) const = 0;
 
     virtual HttpCall read(std::string_view key) const = 0;
@@ -156,9 +161,10 @@
     virtual Result<std::optional<KeyValue>> decodeItem(const HttpResponse &response) const = 0;
 
     /// Writes a key, which is removed when \a lease ends (0: no lease). If \a expectedRevision is
-    /// set, writes only if the key has that revision (0: the key doesn't exist).
+    /// set, writes only if the key has that revision (number 0: the key doesn't exist). The store
+    /// compares the number alone, so the revision of the answer tells in which era it did.
     virtual HttpCall write(std::string_view key, std::string_view value, std::uint64_t lease,
-                           std::optional<std::int64_t> expectedRevision) const = 0;
+                           std::optional<StoreRevision> expectedRevision) const = 0;
     virtual Result<StoreWrite> decodeWrite(const HttpResponse &response) const = 0;
 
     /// Deletes a key. The answer is decoded by decodeWrite().
--- a/src/gateway/registryrecords.cpp
+++ b/src/gateway/registryrecords.cpp
@@ -67,10 +67,11 @@
                                                       {"nonce", record.nonce},
                                                       {"term", record.position.term},
                                                       {"position", record.position.lsn},
-                                                      {"endedTerm", record.endedTerm}});
+                                                      {"endedTerm", record.endedTerm},
+                                                      {"number", record.number}});
 }
 
-Result<PromotionRecord> decodePromotion(std::string_view value, std::int64_t revision)
+Result<PromotionRecord> decodePromotion(std::string_view value, StoreRevision revision)
 {
     const auto parsing = parseJson(value);
     if (parsing.error) {
@@ -90,6 +91,7 @@
     // A proxy of the version before doesn't write the term that its promotion ends.
     record.endedTerm = record.position.term;
     reader.integer("endedTerm", record.endedTerm, 0, std::numeric_limits<Term>::max());
+    reader.integer("number", record.number, 0, std::numeric_limits<std::int64_t>::max());
     if (!problems.empty()) {
         return boost::leaf::new_error(
             Failure{ErrorCode::BadRequest, Verdict::DidNotRun,
--- a/src/gateway/registryrecords.h
+++ b/src/gateway/registryrecords.h
@@ -35,6 +35,6 @@
 
 /// Decodes \a value, made by encodePromotion(), of a key at \a revision. Fails with
 /// ErrorCode::BadRequest. Thread-safe.
-Result<PromotionRecord> decodePromotion(std::string_view value, std::int64_t revision);
+Result<PromotionRecord> decodePromotion(std::string_view value, StoreRevision revision);
 
 } // namespace shallotwalk
--- a/src/registry/storewatcher.cpp
+++ b/src/registry/storewatcher.cpp
@@ -115,8 +115,8 @@
         monitor(message.subscriber);
     send(message.subscriber, StoreWatchStatus{message.prefix, watch.connected, watch.lastError});
     if (watch.loaded)
-        send(message.subscriber,
-             StoreChanged{message.prefix, watch.view.values(), true, watch.view.revision()});
+        send(message.subscriber, StoreChanged{message.prefix, watch.view.values(), true,
+                                              watch.view.revision().number()});
     scheduleNext();
 }
 
@@ -202,7 +202,8 @@
     const auto error = errorOf([&]() -> Result<void> {
         BOOST_LEAF_CHECK(readPrefix(prefix, watch));
         return watch.stream.openStream(
-            storeWatchPath, encodeWatchRequest(prefix, watch.view.revision() + 1), callDeadline());
+            storeWatchPath, encodeWatchRequest(prefix, watch.view.revision().number() + 1),
+            callDeadline());
     });
     if (error) {
         loseWatch(prefix, watch, *error);
@@ -213,7 +214,7 @@
     watch.lastError.clear();
     watch.checkAt = clock_->now() + settings_.checkInterval;
     spdlog::info("event=store_watch_established prefix={} endpoint={}:{} revision={}", prefix,
-                 endpoint.host, endpoint.port, watch.view.revision());
+                 endpoint.host, endpoint.port, watch.view.revision().number());
     publishStatus(prefix, watch);
     // Messages that arrived together with the header no longer show up in poll.
     receive(prefix, watch);
@@ -226,12 +227,12 @@
     auto changes = watch.view.applyRead(range.values, range.revision);
     if (!changes) {
         return watchError("the endpoint is at revision " + std::to_string(range.revision)
-                          + ", before " + std::to_string(watch.view.revision()));
+                          + ", before " + std::to_string(watch.view.revision().number()));
     }
     if (!watch.loaded || !changes->empty()) {
         StoreChanged message{prefix, std::move(*changes), !watch.loaded, range.revision};
         for (const auto &value : message.values)
-            message.revisions.push_back(value.modRevision != 0 ? value.modRevision
+            message.revisions.push_back(value.modRevision != 0 ? value.modRevision.number()
                                                                : range.revision);
         publish(message);
     }
@@ -275,11 +276,12 @@
     std::vector<std::int64_t> revisions;
     for (const auto &change : message.changes) {
         if (change.modRevision > watch.view.revision())
-            revisions.push_back(change.modRevision);
+            revisions.push_back(change.modRevision.number());
     }
     auto changes = watch.view.applyEvents(message.changes, message.deleted);
     if (!changes.empty())
-        publish({prefix, std::move(changes), false, watch.view.revision(), std::move(revisions)});
+        publish({prefix, std::move(changes), false, watch.view.revision().number(),
+                 std::move(revisions)});
     return {};
 }
 
@@ -298,7 +300,8 @@
         return watchError("the watch did not report revision "
                           + std::to_string(watch.announcedRevision));
     BOOST_LEAF_AUTO(latest, readRange(watch.reads, encodeLatestRequest(prefix), callDeadline()));
-    watch.announcedRevision = latest.values.empty() ? 0 : latest.values.front().modRevision;
+    watch.announcedRevision =
+        latest.values.empty() ? 0 : latest.values.front().modRevision.number();
     if (watch.view.revision() < watch.announcedRevision) {
         watch.announcedBy = clock_->now() + settings_.checkGrace;
         watch.checkAt = watch.announcedBy;
@@ -349,7 +352,7 @@
     boost::json::object prefixes;
     for (const auto &[prefix, watch] : watches_) {
         prefixes[prefix] = boost::json::object{{"connected", watch.connected},
-                                               {"revision", watch.view.revision()},
+                                               {"revision", watch.view.revision().number()},
                                                {"subscribers", subscribers_->at(prefix).size()},
                                                {"lastError", watch.lastError}};
     }
--- a/src/wire/controlcodec.cpp
+++ b/src/wire/controlcodec.cpp
@@ -10,15 +10,19 @@
 {
     peerwire::FeedCursor wire;
     wire.log = static_cast<std::int64_t>(cursor.log);
-    wire.revision = cursor.revision;
-    wire.snapshotBase = cursor.snapshotBase;
+    wire.revision = cursor.revision.number();
+    wire.snapshotBase = cursor.snapshotBase.number();
+    if (cursor.revision.era() != 0)
+        wire.__set_era(cursor.revision.era());
     return wire;
 }
 
 FeedCursor fromWire(const peerwire::FeedCursor &wire)
 {
-    require(wire.revision >= 0 && wire.snapshotBase >= 0, "negative revision");
-    return {static_cast<std::uint64_t>(wire.log), wire.revision, wire.snapshotBase};
+    require(wire.revision >= 0 && wire.snapshotBase >= 0 && wire.era >= 0, "negative revision");
+    FeedCursor cursor{static_cast<std::uint64_t>(wire.log), wire.revision, wire.snapshotBase};
+    setEra(cursor, wire.era);
+    return cursor;
 }
 
 peerwire::FeedPage toWire(const FeedPage &page)
@@ -29,7 +33,7 @@
             wire.deletions.push_back(static_cast<std::int32_t>(wire.keys.size()));
         wire.keys.push_back(change.entry.key);
         wire.values.push_back(change.entry.value);
-        wire.revisions.push_back(change.entry.modRevision);
+        wire.revisions.push_back(change.entry.modRevision.number());
     }
     wire.nextCursor = toWire(page.next);
     wire.snapshot = page.snapshot;
@@ -54,6 +58,7 @@
         page.changes[static_cast<std::size_t>(index)].deleted = true;
     }
     page.next = fromWire(wire.nextCursor);
+    setEra(page, wire.nextCursor.era);
     page.snapshot = wire.snapshot;
     return page;
 }
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -2807,6 +2807,11 @@
 void FeedCursor::__set_snapshotBase(const int64_t val) {
   this->snapshotBase = val;
 }
+
+void FeedCursor::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const FeedCursor& obj)
 {
   obj.printTo(out);
@@ -2859,6 +2864,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2888,6 +2901,11 @@
   xfer += oprot->writeI64(this->snapshotBase);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2898,6 +2916,7 @@
   swap(a.log, b.log);
   swap(a.revision, b.revision);
   swap(a.snapshotBase, b.snapshotBase);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -2905,12 +2924,14 @@
   log = other66.log;
   revision = other66.revision;
   snapshotBase = other66.snapshotBase;
+  era = other66.era;
   __isset = other66.__isset;
 }
 FeedCursor& FeedCursor::operator=(const FeedCursor& other67) noexcept {
   log = other67.log;
   revision = other67.revision;
   snapshotBase = other67.snapshotBase;
+  era = other67.era;
   __isset = other67.__isset;
   return *this;
 }
@@ -2920,6 +2941,7 @@
   out << "log=" << to_string(log);
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "snapshotBase=" << to_string(snapshotBase);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -1171,10 +1171,11 @@
 std::ostream& operator<<(std::ostream& out, const OwnerUpdate& obj);
 
 typedef struct _FeedCursor__isset {
-  _FeedCursor__isset() : log(false), revision(false), snapshotBase(false) {}
+  _FeedCursor__isset() : log(false), revision(false), snapshotBase(false), era(false) {}
   bool log :1;
   bool revision :1;
   bool snapshotBase :1;
+  bool era :1;
 } _FeedCursor__isset;
 
 class FeedCursor : public virtual ::apache::thrift::TBase {
@@ -1185,13 +1186,15 @@
   FeedCursor() noexcept
              : log(0),
                revision(0),
-               snapshotBase(0) {
+               snapshotBase(0),
+               era(0) {
   }
 
   virtual ~FeedCursor() noexcept;
   int64_t log;
   int64_t revision;
   int64_t snapshotBase;
+  int64_t era;
 
   _FeedCursor__isset __isset;
 
@@ -1201,6 +1204,8 @@
 
   void __set_snapshotBase(const int64_t val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const FeedCursor & rhs) const
   {
     if (!(log == rhs.log))
@@ -1209,6 +1214,10 @@
       return false;
     if (!(snapshotBase == rhs.snapshotBase))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const FeedCursor &rhs) const {
--- a/src/wire/httpmessage.cpp
+++ b/src/wire/httpmessage.cpp
@@ -6,11 +6,16 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <span>
+
 namespace shallotwalk {
 
 namespace http = boost::beast::http;
 
-std::optional<std::string_view> HttpRequest::header(std::string_view name) const
+namespace {
+
+std::optional<std::string_view>
+findHeader(std::span<const std::pair<std::string, std::string>> headers, std::string_view name)
 {
     for (const auto &[key, value] : headers) {
         if (boost::beast::iequals(boost::beast::string_view(key.data(), key.size()),
@@ -20,6 +25,18 @@
     return std::nullopt;
 }
 
+} // namespace
+
+std::optional<std::string_view> HttpRequest::header(std::string_view name) const
+{
+    return findHeader(headers, name);
+}
+
+std::optional<std::string_view> HttpResponse::header(std::string_view name) const
+{
+    return findHeader(headers, name);
+}
+
 std::string serialize(const HttpResponse &response)
 {
     constexpr unsigned http11 = 11;
--- a/src/wire/httpmessage.h
+++ b/src/wire/httpmessage.h
@@ -30,6 +30,10 @@
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
     bool keepAlive = true;
+
+    /// Value of the first header named \a name, ignoring case. The view lives as long as the
+    /// response.
+    std::optional<std::string_view> header(std::string_view name) const;
 };
 
 /// The bytes of \a response, with Content-Length and Connection headers. Thread-safe.
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -130,10 +130,12 @@
   3: string owner
 }
 
+// All revisions of a page or cursor belong to one era of the store.
 struct FeedCursor {
   1: i64 log
   2: i64 revision
   3: i64 snapshotBase
+  4: optional i64 era
 }
 
 // The three lists have the same length; the entries at the indexes in `deletions` are deletions.
--- a/tests/adapter/test_documents.cpp
+++ b/tests/adapter/test_documents.cpp
@@ -1,5 +1,6 @@
 #include "gateway/registryrecords.h"
 #include "platform/platform.h"
+#include "support/printrevision.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/test/unit_test.hpp>
@@ -11,8 +12,8 @@
 namespace {
 
 /// Returns the value of \a call, or throws std::runtime_error with the message of its failure.
-template<class Value>
-Value expect(Result<Value> (*call)())
+template<class Value, class Call>
+Value expect(Call call)
 {
     return boost::leaf::try_handle_all(
         call, [](const Failure &failure) -> Value { throw std::runtime_error(failure.message); },
@@ -231,6 +232,25 @@
     BOOST_TEST(lost.historyLost);
 }
 
+// Guards against revisions of different eras of the store that are taken for comparable, and
+// against an answer without an era, as older stores give it, that can't be read.
+BOOST_AUTO_TEST_CASE(revisions_carry_the_era_of_the_store)
+{
+    auto answer = response(200, R"({"events": [{"key": "a", "value": "", "revision": 412}],
+                                    "store_revision": 413})");
+    const auto without = expect<StoreChanges>([&] { return StoreCalls().decodeChanges(answer); });
+    BOOST_TEST((without.revision == StoreRevision(413)));
+    answer.headers = {{"store-era", "2"}};
+    const auto changes = expect<StoreChanges>([&] { return StoreCalls().decodeChanges(answer); });
+    BOOST_TEST((changes.revision == StoreRevision(413, 2)));
+    BOOST_TEST((changes.changes[0].item.modRevision == StoreRevision(412, 2)));
+    BOOST_TEST((changes.revision > StoreRevision(500, 1)));
+    for (const auto *era : {"", "x", "-1", "1 2", "99999999999999999999"}) {
+        answer.headers = {{"Store-Era", era}};
+        BOOST_TEST(failureOf([&] { return StoreCalls().decodeChanges(answer); }) != "");
+    }
+}
+
 // Guards against an error response of the store that is treated as an empty answer.
 BOOST_AUTO_TEST_CASE(errors_of_the_store_are_failures)
 {
--- a/tests/adapter/test_oddentries.cpp
+++ b/tests/adapter/test_oddentries.cpp
@@ -1,5 +1,6 @@
 #include "platform/platform.h"
 #include "support/oddentries.h"
+#include "support/printrevision.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/test/unit_test.hpp>
--- a/tests/feed/test_feedlog.cpp
+++ b/tests/feed/test_feedlog.cpp
@@ -1,5 +1,6 @@
 #include "core/feedlog.h"
 #include "core/feedview.h"
+#include "support/printrevision.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -9,12 +10,12 @@
 
 namespace {
 
-FeedChange put(const std::string &key, std::int64_t revision)
+FeedChange put(const std::string &key, StoreRevision revision)
 {
-    return {{key, key + "@" + std::to_string(revision), revision}, false};
+    return {{key, key + "@" + toString(revision), revision}, false};
 }
 
-FeedChange removal(const std::string &key, std::int64_t revision)
+FeedChange removal(const std::string &key, StoreRevision revision)
 {
     return {{key, {}, revision}, true};
 }
@@ -223,7 +224,7 @@
 BOOST_AUTO_TEST_CASE(random_exchanges_converge)
 {
     std::mt19937_64 random(20261204);
-    std::map<std::string, std::int64_t> truth;
+    std::map<std::string, StoreRevision> truth;
     std::vector<FeedLog> watchers{watchingLog(1), watchingLog(2)};
     std::vector<FeedView> followers(3);
     std::vector<FeedReply> late;
@@ -263,9 +264,118 @@
     }
     for (auto &follower : followers) {
         synchronize(watchers[0], follower);
-        std::map<std::string, std::int64_t> known;
+        std::map<std::string, StoreRevision> known;
         for (const auto &value : follower.records())
             known.emplace(value.key, value.modRevision);
         BOOST_CHECK((known == truth));
     }
 }
+
+// Guards against followers that keep what the store has lost, or that miss what it has written
+// since, after it has gone back to a copy: its watchers notice at different times, and late replies
+// tell of the era before.
+BOOST_AUTO_TEST_CASE(random_exchanges_converge_over_eras)
+{
+    std::mt19937_64 random(20261207);
+    using Records = std::map<std::string, StoreRevision>;
+    Records truth;
+    Records copy;
+    StoreRevision revision(1, 1);
+    StoreRevision copyRevision = revision;
+    std::vector<FeedLog> watchers{watchingLog(0), watchingLog(0)};
+    std::vector<FeedView> followers(3);
+    std::vector<FeedReply> late;
+    const auto load = [&](FeedLog &log) {
+        std::vector<KeyValue> values;
+        values.reserve(truth.size());
+        for (const auto &[key, changed] : truth)
+            values.push_back(put(key, changed).entry);
+        log.loadRecords(values, revision);
+    };
+    for (auto &watcher : watchers)
+        load(watcher);
+    for (int step = 0; step < 20000; ++step) {
+        auto &watcher = watchers[random() % 2];
+        auto &follower = followers[random() % 3];
+        const auto before = follower.revision();
+        const auto kind = random() % 200;
+        if (kind < 80) {
+            const auto key = "pool" + std::to_string(random() % 40);
+            revision = revision.next();
+            const bool removed = kind < 20 && truth.erase(key) > 0;
+            if (!removed)
+                truth[key] = revision;
+            const auto change = removed ? removal(key, revision) : put(key, revision);
+            for (auto &one : watchers) {
+                if (one.revision().era() == revision.era())
+                    one.changeRecords(std::vector{change}, revision);
+            }
+        } else if (kind == 80) {
+            copy = truth;
+            copyRevision = revision;
+        } else if (kind == 81) {
+            const auto era = revision.era() + 1;
+            truth.clear();
+            for (const auto &[key, changed] : copy)
+                truth[key] = {changed.number(), era};
+            revision = {copyRevision.number(), era};
+        } else if (kind < 90) {
+            load(watcher);
+        } else if (const auto reply = watcher.answer(requestOf(follower))) {
+            follower.take(*reply);
+            late.push_back(*reply);
+        }
+        if (!late.empty() && random() % 5 == 0)
+            follower.take(late[random() % late.size()]);
+        BOOST_REQUIRE_GE(follower.revision(), before);
+    }
+    BOOST_REQUIRE_GT(revision.era(), 10);
+    for (auto &watcher : watchers)
+        load(watcher);
+    for (auto &follower : followers) {
+        synchronize(watchers[0], follower);
+        Records known;
+        for (const auto &value : follower.records())
+            known.emplace(value.key, value.modRevision);
+        BOOST_CHECK((known == truth));
+    }
+}
+
+// Guards against snapshots without end to a follower that knows a newer era of the store than its
+// watcher: nothing of the older one is news.
+BOOST_AUTO_TEST_CASE(follower_of_a_newer_era_is_told_nothing)
+{
+    auto log = watchingLog(0);
+    log.loadRecords(std::vector{put("pool1", {7, 1}).entry}, {9, 1});
+    FeedView view;
+    view.loadRecords(std::vector{put("pool1", {3, 2}).entry}, {4, 2});
+    log.updateVms({});
+    synchronize(log, view);
+    BOOST_CHECK_EQUAL(view.revision(), StoreRevision(4, 2));
+}
+
+// Guards against changes that are missed while proxies of a version that doesn't know eras watch
+// the store for newer ones, or the other way round.
+BOOST_AUTO_TEST_CASE(cursor_without_an_era_counts_as_of_the_same)
+{
+    auto log = watchingLog(0);
+    log.loadRecords(std::vector{put("pool1", {3, 2}).entry}, {4, 2});
+    FeedRequest request;
+    request.records = {0, 4, {}};
+    request.hold = true;
+    request.watchConnected = true;
+    BOOST_CHECK(!log.answer(request));
+    log.changeRecords(std::vector{put("pool2", {5, 2})}, {5, 2});
+    const auto reply = log.answer(request);
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_CHECK_EQUAL(reply->records.changes.size(), 1U);
+
+    FeedView view;
+    view.loadRecords(std::vector{put("pool1", {3, 2}).entry}, {4, 2});
+    FeedReply old;
+    old.answer = FeedAnswer::Watching;
+    old.records.changes = {put("pool2", 5)};
+    old.records.next = {0, 5, {}};
+    BOOST_CHECK_EQUAL(view.take(old).records.size(), 1U);
+    BOOST_CHECK_EQUAL(view.revision(), StoreRevision(5, 2));
+}
--- a/tests/gateway/test_processes.cpp
+++ b/tests/gateway/test_processes.cpp
@@ -266,6 +266,51 @@
     BOOST_CHECK_THROW(fleet.client(0, "third"), std::runtime_error);
 }
 
+// Guards against a configuration that is never seen because the store has gone back to a copy and
+// gives its revision a second time: all proxies had read up to that revision before, so no watch
+// reported it. The bound is the time after which the store counts as stable, 4 s, and the 3 s in
+// which a configuration must be in force.
+BOOST_AUTO_TEST_CASE(configuration_is_seen_after_the_store_has_gone_back)
+{
+    PlatformFleet fleet(4);
+    const std::vector<std::size_t> all{0, 1, 2, 3};
+    fleet.fault("copy", "{}");
+    fleet.configure(2, "lost");
+    BOOST_REQUIRE(isInForce(fleet, all, "lost", 3s));
+    const auto client = fleet.client(0, "rounds");
+    fleet.fault("store", R"({"mode": "silent"})");
+    std::this_thread::sleep_for(500ms);
+    fleet.fault("restore", "{}");
+    fleet.configure(3, "later");
+    fleet.fault("store", R"({"mode": "up"})");
+    BOOST_TEST(client->query("WRITE item data").ok());
+    BOOST_TEST(isInForce(fleet, all, "later", 7s));
+    // The route that the older versions had is gone with them.
+    for (const auto proxy : all)
+        BOOST_CHECK_THROW(fleet.client(proxy, "lost"), std::runtime_error);
+}
+
+// Guards against a group that stays without a primary because the store has gone back and lost the
+// record of its last promotion, and against a fencing token that is lower than the one before. The
+// bound of 3 s is the target of docs/design.md.
+BOOST_AUTO_TEST_CASE(crashed_primary_is_replaced_after_the_store_has_gone_back)
+{
+    PlatformFleet fleet(3);
+    const auto client = fleet.client(0, "rounds");
+    fleet.fault("copy", "{}");
+    for (int i = 0; i < 20; ++i)
+        fleet.fault("entry", R"({"key": "other", "value": "x"})");
+    fleet.fault("crash", R"({"id": "db-1"})");
+    BOOST_REQUIRE(writeUntilServed(*client, 10s).count() < 10000);
+    const auto second = fleet.leader();
+    fleet.fault("restore", "{}");
+    fleet.fault("revive", R"({"id": "db-1"})");
+    std::this_thread::sleep_for(4s); // The store counts as stable.
+    fleet.fault("crash", R"({"id": ")" + second + R"("})");
+    BOOST_TEST(writeUntilServed(*client, 10s).count() < 3000);
+    BOOST_TEST(fleet.leader() != second);
+}
+
 // Guards against calls to the store that grow with the fleet, and against a configuration that is
 // late because the proxy that watches the store for others has stopped.
 BOOST_AUTO_TEST_CASE(two_proxies_watch_the_store_for_the_others)
--- a/tests/gatewayactors/fakestoreprotocol.h
+++ b/tests/gatewayactors/fakestoreprotocol.h
@@ -10,9 +10,13 @@
 class FakeStoreProtocol : public StoreProtocol
 {
 public:
+    Result<std::int64_t> decodeEra(const HttpResponse &) const override
+    {
+        return written.revision.era();
+    }
     HttpCall list(std::string_view, std::string_view) const override { return call("list"); }
     Result<StorePage> decodePage(const HttpResponse &) const override { return StorePage{}; }
-    HttpCall watch(std::string_view, std::int64_t, Duration) const override
+    HttpCall watch(std::string_view, StoreRevision, Duration) const override
     {
         return call("watch");
     }
@@ -26,9 +30,9 @@
         return std::optional<KeyValue>();
     }
     HttpCall write(std::string_view, std::string_view, std::uint64_t,
-                   std::optional<std::int64_t> expectedRevision) const override
+                   std::optional<StoreRevision> expectedRevision) const override
     {
-        return call("write", std::to_string(expectedRevision.value_or(-1)));
+        return call("write", toString(expectedRevision.value_or(-1)));
     }
     Result<StoreWrite> decodeWrite(const HttpResponse &) const override { return written; }
     HttpCall remove(std::string_view) const override { return call("remove"); }
--- a/tests/gatewayactors/test_feedserver.cpp
+++ b/tests/gatewayactors/test_feedserver.cpp
@@ -1,4 +1,5 @@
 #include "gateway/gateway.h"
+#include "support/printrevision.h"
 
 #include <boost/test/unit_test.hpp>
 #include <caf/io/middleman.hpp>
--- a/tests/gatewayactors/test_promotionactor.cpp
+++ b/tests/gatewayactors/test_promotionactor.cpp
@@ -2,6 +2,7 @@
 #include "gateway/promotionactor.h"
 #include "gateway/registryrecords.h"
 #include "gatewayactors/fakestoreprotocol.h"
+#include "support/printrevision.h"
 
 #include <boost/test/unit_test.hpp>
 #include <caf/io/middleman.hpp>
@@ -103,4 +104,41 @@
     BOOST_TEST(expectedRevision == "28");
 }
 
+// Guards against an order that the platform rejects, or that has the token of another one, because
+// the store has gone back and gives out revisions again.
+BOOST_AUTO_TEST_CASE(token_rises_over_eras_of_the_store)
+{
+    store->written.written = true;
+    store->written.revision = {40, 3};
+    self->send(promotions, OrderPromotion{{"bookings", "r2", {1, 161}, "no_primary"}, {}, 1});
+    self->receive([](const HttpCallRequest &) {},
+                  caf::after(5s) >> [] { BOOST_ERROR("no record was written"); });
+    self->receive(
+        [](const ConfirmPromotion &message) {
+            BOOST_TEST(message.token > StoreRevision(1'000'000, 2).fencingToken());
+        },
+        caf::after(5s) >> [] { BOOST_ERROR("the group was not asked"); });
+}
+
+// Guards against an order that is recorded over a record which its choice didn't consider: the
+// store has gone back and has given the revision of the known record to another one.
+BOOST_AUTO_TEST_CASE(record_written_over_one_of_another_era_is_withdrawn)
+{
+    store->written.written = true;
+    store->written.revision = {28, 2};
+    self->send(promotions, OrderPromotion{{"bookings", "r2", {1, 161}, "no_primary"}, {27, 1}, 6});
+    self->receive([](const HttpCallRequest &) {},
+                  caf::after(5s) >> [] { BOOST_ERROR("no record was written"); });
+    bool failed = false;
+    std::string expectedRevision;
+    for (int i = 0; i < 2; ++i) {
+        self->receive(
+            [&](const PromotionFailed &) { failed = true; },
+            [&](const HttpCallRequest &request) { expectedRevision = request.call.target; },
+            caf::after(5s) >> [] { BOOST_ERROR("the order was not withdrawn"); });
+    }
+    BOOST_TEST(failed);
+    BOOST_TEST(expectedRevision == "2.28");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/registry/test_decisions.cpp
+++ b/tests/registry/test_decisions.cpp
@@ -1,5 +1,6 @@
 #include "core/leavingservers.h"
 #include "core/watchview.h"
+#include "support/printrevision.h"
 #include "wire/storecodec.h"
 #include "wire/vmlistcodec.h"
 
--- a/tests/sessions/replicationmodel.cpp
+++ b/tests/sessions/replicationmodel.cpp
@@ -196,7 +196,7 @@
     const std::size_t index;
     bool ended = false;
     TimePoint frozenUntil;
-    std::int64_t recordRevision = 0;
+    StoreRevision recordRevision;
     std::uint64_t published = 0; ///< Newest list of servers that it knows.
 
 private:
@@ -530,9 +530,13 @@
             });
             return;
         }
-        record_ = {
-            choice.service,       choice.server,   std::to_string(proxy.index), "", choice.position,
-            record_.revision + 1, choice.endedTerm};
+        record_ = {choice.service,
+                   choice.server,
+                   std::to_string(proxy.index),
+                   "",
+                   choice.position,
+                   record_.revision.next(),
+                   choice.endedTerm};
         tellRecord();
         proxy.later(storeCallTime, [this, &proxy, record = record_] { order(proxy, record); });
     });
@@ -544,7 +548,7 @@
     afterStore(storeCallTime, [this, &proxy, record] {
         if (record_.revision == record.revision) {
             record_.server.clear();
-            ++record_.revision;
+            record_.revision = record_.revision.next();
             tellRecord();
         }
         proxy.later(networkDelay, [this, &proxy, record] {
@@ -573,14 +577,14 @@
         withdraw(proxy, record);
         return;
     }
-    if (record.revision < highestToken_ || chosen.crashed) {
+    const auto token = record.revision.fencingToken();
+    if (token < highestToken_ || chosen.crashed) {
         proxy.scheduler.promotionFailed(record.server, time_.now());
         return;
     }
-    highestToken_ = record.revision;
+    highestToken_ = token;
     if (!chosen.primary) {
-        time_.after(settings_.promotionTime,
-                    [this, &chosen, token = record.revision] { lead(chosen, token); });
+        time_.after(settings_.promotionTime, [this, &chosen, token] { lead(chosen, token); });
     }
 }
 
--- a/tests/sessions/test_directory.cpp
+++ b/tests/sessions/test_directory.cpp
@@ -137,6 +137,64 @@
     BOOST_TEST(directory.promotions().front().server == "a");
 }
 
+// Guards against a promotion that is forgotten when the store goes back to a copy without its
+// record: the older record that the copy holds is known to be older, and the newer one is to be
+// written again.
+BOOST_AUTO_TEST_CASE(promotion_outlives_the_loss_of_its_record)
+{
+    const PromotionRecord older{"bookings", "a", "x", "n1", {1, 5}, {20, 1}, 1, 1};
+    const PromotionRecord newer{"bookings", "b", "y", "n2", {2, 9}, {30, 1}, 2, 2};
+    directory.promotionSeen(older);
+    directory.promotionSeen(newer);
+    BOOST_TEST(directory.lostPromotions().empty());
+    auto kept = older;
+    kept.revision = {20, 2};
+    BOOST_TEST(directory.promotionSeen(kept).server == "b");
+    BOOST_REQUIRE(directory.lostPromotions().size() == 1);
+    // The next record replaces the one that the store holds.
+    BOOST_TEST((directory.lostPromotions().front().revision == StoreRevision(20, 2)));
+    auto restored = newer;
+    restored.revision = {25, 2};
+    directory.promotionSeen(restored);
+    BOOST_TEST(directory.lostPromotions().empty());
+    BOOST_TEST((directory.promotions().front() == restored));
+}
+
+// Guards against a withdrawn order that counts again because the store has gone back to a copy with
+// its record, and against a lost record that hides one of a proxy that didn't know it.
+BOOST_AUTO_TEST_CASE(newer_of_two_promotions_is_known_over_eras)
+{
+    const PromotionRecord order{"bookings", "a", "x", "n1", {1, 5}, {30, 1}, 1, 3};
+    const PromotionRecord withdrawn{"bookings", "", "x", "n1", {}, {31, 1}, 0, 4};
+    directory.promotionSeen(order);
+    directory.promotionSeen(withdrawn);
+    auto again = order;
+    again.revision = {30, 2};
+    BOOST_TEST(directory.promotionSeen(again).server.empty());
+    BOOST_TEST(directory.lostPromotions().size() == 1U);
+    const PromotionRecord other{"bookings", "b", "y", "n2", {1, 6}, {29, 3}, 1, 4};
+    BOOST_TEST(directory.promotionSeen(other).server == "b");
+    BOOST_TEST(directory.lostPromotions().empty());
+    BOOST_REQUIRE(directory.promotionGone("bookings", {0, 4}) != nullptr);
+    BOOST_TEST(directory.lostPromotions().size() == 1U);
+}
+
+// Guards against servers and proxies that are dropped because the store has gone back to a copy
+// that lacks them, before they have had time to register again.
+BOOST_AUTO_TEST_CASE(entries_that_a_copy_of_the_store_lacks_are_kept_at_first)
+{
+    directory.serverSeen(server("a"));
+    directory.proxySeen({"front-1", {}, {}, 0});
+    directory.storeRestored(now);
+    directory.beginListing();
+    BOOST_TEST(!directory.endListing(now));
+    BOOST_TEST(directory.servers().size() == 1U);
+    BOOST_TEST(!directory.expire(now + 2s));
+    BOOST_TEST(directory.expire(now + 3s));
+    BOOST_TEST(directory.servers().empty());
+    BOOST_TEST(directory.proxyCount() == 0U);
+}
+
 // Guards against suspicions whose cost for the store grows with the square of the number of
 // proxies: only those of a few proxies count, the same ones on each proxy, and other ones for other
 // services.
--- a/tests/sessions/test_directorysource.cpp
+++ b/tests/sessions/test_directorysource.cpp
@@ -1,4 +1,5 @@
 #include "core/core.h"
+#include "support/printrevision.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -25,7 +26,7 @@
     }
     void remove(const std::string &key) { changes.push_back({{key, {}, ++revision}, true}); }
 
-    std::vector<FeedChange> after(std::int64_t known) const
+    std::vector<FeedChange> after(StoreRevision known) const
     {
         std::vector<FeedChange> news;
         std::copy_if(changes.begin(), changes.end(), std::back_inserter(news),
--- a/tests/standins/common/httpserver.h
+++ b/tests/standins/common/httpserver.h
@@ -10,8 +10,10 @@
 #include <cstdio>
 #include <mutex>
 #include <set>
+#include <span>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include <poll.h>
 #include <sys/socket.h>
@@ -34,9 +36,13 @@
     virtual bool handle(Socket &socket, const Request &request) = 0;
 };
 
-inline bool respond(Socket &socket, const Request &request, http::status status, std::string body)
+/// \a fields are header fields in addition to those of each response.
+inline bool respond(Socket &socket, const Request &request, http::status status, std::string body,
+                    std::span<const std::pair<std::string, std::string>> fields = {})
 {
     http::response<http::string_body> response(status, request.version());
+    for (const auto &[name, value] : fields)
+        response.set(name, value);
     response.set(http::field::content_type, "application/json");
     response.keep_alive(request.keep_alive());
     response.body() = std::move(body);
--- a/tests/standins/platform/platformhandler.cpp
+++ b/tests/standins/platform/platformhandler.cpp
@@ -122,6 +122,30 @@
     });
 }
 
+/// Responds as the store does: with its era.
+bool PlatformHandler::answer(Socket &socket, const Request &request, http::status status,
+                             std::string body) const
+{
+    const std::vector<std::pair<std::string, std::string>> fields{
+        {"Store-Era", std::to_string(era_)}};
+    return respond(socket, request, status, std::move(body), fields);
+}
+
+/// Goes back to the copy, as of the fault "copy". Databases write again what it lacks; what proxies
+/// have written since is lost, and so are their leases.
+void PlatformHandler::restore()
+{
+    items_ = copy_.items;
+    leases_ = copy_.leases;
+    revision_ = copy_.revision;
+    lastLease_ = copy_.lastLease;
+    std::erase_if(history_,
+                  [this](const Change &change) { return change.item.revision > revision_; });
+    ++era_;
+    registerServers();
+    changed_.notify_all();
+}
+
 bool PlatformHandler::handle(Socket &socket, const Request &request)
 {
     const std::string target(request.target());
@@ -137,7 +161,7 @@
         {
             const std::scoped_lock lock(mutex_);
             if (mode_ == Mode::Busy)
-                return respond(socket, request, http::status::service_unavailable, "{}");
+                return answer(socket, request, http::status::service_unavailable, "{}");
             if (mode_ == Mode::Up)
                 break;
         }
@@ -161,12 +185,12 @@
     if (path == "/shallotwalk/kv-key") {
         const auto found = items_.find(query.at("key"));
         if (found == items_.end())
-            return respond(socket, request, http::status::not_found, "{}");
-        return respond(socket, request, http::status::ok,
-                       json::serialize(json::object{{"key", found->first},
-                                                    {"value", found->second.value},
-                                                    {"revision", found->second.revision},
-                                                    {"store_revision", revision_}}));
+            return answer(socket, request, http::status::not_found, "{}");
+        return answer(socket, request, http::status::ok,
+                      json::serialize(json::object{{"key", found->first},
+                                                   {"value", found->second.value},
+                                                   {"revision", found->second.revision},
+                                                   {"store_revision", revision_}}));
     }
     return lease(socket, request, path);
 }
@@ -183,10 +207,10 @@
                                          {"lease", item.lease}});
         }
     }
-    return respond(socket, request, http::status::ok,
-                   json::serialize(json::object{{"items", std::move(items)},
-                                                {"has_more", false},
-                                                {"store_revision", revision_}}));
+    return answer(socket, request, http::status::ok,
+                  json::serialize(json::object{{"items", std::move(items)},
+                                               {"has_more", false},
+                                               {"store_revision", revision_}}));
 }
 
 bool PlatformHandler::watch(Socket &socket, const Request &request,
@@ -196,13 +220,16 @@
     const auto end = std::chrono::steady_clock::now()
                      + std::chrono::milliseconds(std::stoll(query.at("wait_ms")));
     std::unique_lock lock(mutex_);
+    const std::int64_t era = era_;
     if (after < forgottenBefore_)
-        return respond(socket, request, http::status::gone, "{}");
+        return answer(socket, request, http::status::gone, "{}");
     while (revision_ <= after && std::chrono::steady_clock::now() < end) {
         changed_.wait_for(lock, std::chrono::milliseconds(50));
         endLeases();
         registerServers();
     }
+    if (era_ != era)
+        return false; // Watches from before a restoration get no answer.
     json::array events;
     for (const auto &change : history_) {
         if (change.item.revision <= after || !change.key.starts_with(query.at("prefix")))
@@ -217,7 +244,7 @@
     const auto body =
         json::serialize(json::object{{"events", std::move(events)}, {"store_revision", revision_}});
     lock.unlock();
-    return respond(socket, request, http::status::ok, body);
+    return answer(socket, request, http::status::ok, body);
 }
 
 bool PlatformHandler::transaction(Socket &socket, const Request &request)
@@ -236,8 +263,8 @@
                          {"revision", revision}});
     }
     if (!holds) {
-        return respond(socket, request, http::status::precondition_failed,
-                       json::serialize(json::object{{"items", std::move(present)}}));
+        return answer(socket, request, http::status::precondition_failed,
+                      json::serialize(json::object{{"items", std::move(present)}}));
     }
     for (const auto &write : body.at("writes").as_array()) {
         const auto *lease = write.as_object().if_contains("lease");
@@ -246,8 +273,8 @@
     }
     for (const auto &key : body.at("deletes").as_array())
         erase(std::string(key.as_string()));
-    return respond(socket, request, http::status::ok,
-                   json::serialize(json::object{{"revision", revision_}}));
+    return answer(socket, request, http::status::ok,
+                  json::serialize(json::object{{"revision", revision_}}));
 }
 
 bool PlatformHandler::lease(Socket &socket, const Request &request, const std::string &path)
@@ -258,24 +285,24 @@
         const auto duration =
             Milliseconds(json::parse(request.body()).at("ttl_ms").to_number<std::int64_t>());
         leases_[++lastLease_] = {duration, now + duration};
-        return respond(
+        return answer(
             socket, request, http::status::ok,
             json::serialize(json::object{{"lease", lastLease_}, {"ttl_ms", duration.count()}}));
     }
     if (path.starts_with("/shallotwalk/kv-keep/")) {
         const auto found = leases_.find(number());
         if (found == leases_.end())
-            return respond(socket, request, http::status::not_found, "{}");
+            return answer(socket, request, http::status::not_found, "{}");
         found->second.end = now + found->second.duration;
-        return respond(socket, request, http::status::ok, "{}");
+        return answer(socket, request, http::status::ok, "{}");
     }
     if (path.starts_with("/shallotwalk/kv-lease-end/")) {
         if (const auto found = leases_.find(number()); found != leases_.end())
             found->second.end = now;
         endLeases();
-        return respond(socket, request, http::status::ok, "{}");
+        return answer(socket, request, http::status::ok, "{}");
     }
-    return respond(socket, request, http::status::not_found, "{}");
+    return answer(socket, request, http::status::not_found, "{}");
 }
 
 bool PlatformHandler::promote(Socket &socket, const Request &request)
@@ -307,6 +334,12 @@
         forgottenBefore_ = revision_ + 1;
         ++revision_;
         changed_.notify_all();
+    } else if (path == "copy") {
+        const std::scoped_lock lock(mutex_);
+        copy_ = {items_, leases_, revision_, lastLease_};
+    } else if (path == "restore") {
+        const std::scoped_lock lock(mutex_);
+        restore();
     } else if (path == "entry") {
         // The value as text, or as base64 where it holds bytes that JSON can't.
         const auto *encoded = body.if_contains("base64");
--- a/tests/standins/platform/platformhandler.h
+++ b/tests/standins/platform/platformhandler.h
@@ -5,6 +5,7 @@
 
 #include <boost/json/object.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <memory>
@@ -41,8 +42,18 @@
         Milliseconds duration{0};
         SteadyTime end;
     };
+    /// State that the store can go back to.
+    struct Copy
+    {
+        std::map<std::string, Item> items;
+        std::map<std::int64_t, Lease> leases;
+        std::int64_t revision = 1;
+        std::int64_t lastLease = 100;
+    };
     enum class Mode { Up, Busy, Silent };
 
+    bool answer(Socket &socket, const Request &request, http::status status,
+                std::string body) const;
     bool serveStore(Socket &socket, const Request &request, const std::string &path,
                     const std::map<std::string, std::string> &query);
     bool range(Socket &socket, const Request &request, const std::string &prefix);
@@ -56,6 +67,7 @@
     void erase(const std::string &key);
     void endLeases();
     void registerServers();
+    void restore();
 
     std::mutex mutex_;
     std::condition_variable changed_;
@@ -65,6 +77,8 @@
     std::int64_t revision_ = 1;
     std::int64_t lastLease_ = 100;
     std::int64_t forgottenBefore_ = 0; ///< Watches from older revisions get 410.
+    Copy copy_;
+    std::atomic<std::int64_t> era_{1};
     Mode mode_ = Mode::Up;
     DatabaseGroup group_;
     std::map<std::string, std::unique_ptr<DatabaseServer>> servers_;
