Play silent servers and second promotions in the replication model

It had crashes, deaf replicas and restarted proxies, but no server that is silent without refusing connections, none that runs on without its entry, and no promotion while the servers of the term before are away. It also looked for lost commits only in the log of the last primary.

Change: darken(), cutFromStore(), delayAnswers() and restartAllProxies(); a server that has missed a promotion rolls back what it must; a promotion that the platform refuses is withdrawn, as the program does it; deaf replicas don't get the log at a promotion.

--- a/tests/sessions/replicationmodel.cpp
+++ b/tests/sessions/replicationmodel.cpp
@@ -19,17 +19,11 @@
 constexpr Duration storeCallTime = 5ms;
 /// Time until the entry of a crashed server is removed.
 constexpr Duration entryLifetime = 3600ms;
+/// Longest time until a server that reaches the store again writes its entry.
+constexpr Duration heartbeatInterval = 1200ms;
 /// Time for which a leaving server goes on.
 constexpr Duration leavingTime = 8s;
 
-struct LogEntry
-{
-    Term term = 0;
-    std::string statement;
-
-    bool operator==(const LogEntry &) const = default;
-};
-
 } // namespace
 
 /// A database of the group, with the connections that all proxies have to it.
@@ -53,13 +47,19 @@
     {
         return {log.empty() ? 1 : log.back().term, static_cast<LogPosition>(log.size())};
     }
-    bool receives() const { return !crashed && !deaf && !primary && pausedUntil == 0; }
+    bool runs() const { return !crashed && !dark; }
+    bool receives() const { return runs() && !deaf && !primary && pausedUntil == 0; }
 
     ServerRegistration registration;
     bool registered = true;
     bool primary = false;
     bool deaf = false;
     bool crashed = false;
+    bool dark = false;
+    bool reachesStore = true;
+    std::uint64_t silences = 0; ///< Silences towards the store that have begun or ended.
+    Duration answerDelay{0};
+    std::vector<std::function<void()>> onWake; ///< What was to be handled while it was dark.
     Term term = 1;
     Term pausedUntil = 0;
     std::vector<LogEntry> log;
@@ -121,6 +121,7 @@
     }
     void closeConnection(ServerConnectionKey key) override
     {
+        closed_.insert(key);
         server(key).connections.erase({this, key});
     }
     void answer(const GroupRequest &request, GroupAnswer answer) override
@@ -273,6 +274,12 @@
             lose(key);
             return;
         }
+        if (target.dark) {
+            model_.whenAwake(target, [this, key] { accept(key); });
+            return;
+        }
+        if (ended || closed_.contains(key))
+            return;
         ServerReply opening;
         if (target.connections.size() >= model_.settings_.connectionLimit)
             opening.error = AnswerCode::TooManyClients;
@@ -288,7 +295,11 @@
         if (found != target.connections.end())
             reply.state = found->second.state;
         reply.position = target.received();
-        later(networkDelay,
+        // Replies of one connection stay in order, whatever the delay.
+        const auto now = model_.time_.now();
+        auto &arrival = arrivals_[key];
+        arrival = std::max(arrival, now + networkDelay + target.answerDelay);
+        later(arrival - now,
               [this, key, reply] { scheduler.replied(key, reply, model_.time_.now()); });
     }
 
@@ -303,9 +314,11 @@
         const auto command = found->second.commands.front();
         found->second.commands.pop_front();
         model_.time_.after(workTime, [this, key, command] {
-            const auto run = server(key).connections.find({this, key});
-            if (run != server(key).connections.end())
-                execute(key, run->second, command);
+            model_.whenAwake(server(key), [this, key, command] {
+                const auto run = server(key).connections.find({this, key});
+                if (run != server(key).connections.end())
+                    execute(key, run->second, command);
+            });
         });
     }
 
@@ -365,6 +378,8 @@
 
     ReplicationModel &model_;
     std::map<ServerConnectionKey, std::string> serverOf_;
+    std::set<ServerConnectionKey> closed_;
+    std::map<ServerConnectionKey, TimePoint> arrivals_; ///< Of the last reply on each connection.
     std::map<SessionNumber, unsigned> readers_; ///< Statements of each reader's transaction.
 
 public:
@@ -450,7 +465,7 @@
 {
     time_.after(replicationInterval, [this] { pump(); });
     auto *primary = leader();
-    if (primary == nullptr)
+    if (primary == nullptr || primary->dark)
         return;
     for (const auto &replica : servers_) {
         if (!replica->receives())
@@ -578,8 +593,8 @@
         return;
     }
     const auto token = record.revision.fencingToken();
-    if (token < highestToken_ || chosen.crashed) {
-        proxy.scheduler.promotionFailed(record.server, time_.now());
+    if (token < highestToken_ || !chosen.runs()) {
+        withdraw(proxy, record);
         return;
     }
     highestToken_ = token;
@@ -590,21 +605,28 @@
 
 void ReplicationModel::lead(Server &chosen, std::int64_t token)
 {
-    if (token < highestToken_ || chosen.crashed)
+    if (token < highestToken_ || !chosen.runs())
         return;
+    for (const auto &statement : missingFrom(chosen))
+        lostAtPromotions_.insert(statement);
     ++term_;
     leader_ = chosen.registration.id;
     promoted_.push_back(leader_);
+    promotedLog_ = chosen.log;
     note("leads", leader_);
     for (const auto &member : servers_) {
-        if (member->crashed)
+        if (!member->runs())
             continue;
         endWaitingCommits(*member);
         member->primary = member.get() == &chosen;
         member->registration.primary = member->primary;
+        // A replica that receives nothing only learns what is rolled back.
+        if (member->deaf && member.get() != &chosen)
+            rollBack(*member);
+        else
+            member->log = chosen.log;
         member->term = term_;
         member->pausedUntil = 0;
-        member->log = chosen.log;
     }
     publish();
 }
@@ -676,6 +698,9 @@
     auto &restarted = server(id);
     note("is back", id);
     restarted.crashed = false;
+    restarted.dark = false;
+    restarted.onWake.clear();
+    ++restarted.silences;
     restarted.registered = true;
     restarted.pausedUntil = 0;
     ++restarted.registration.startedAt;
@@ -689,6 +714,95 @@
     publish();
 }
 
+void ReplicationModel::whenAwake(Server &target, std::function<void()> run)
+{
+    if (target.dark)
+        target.onWake.push_back(std::move(run));
+    else
+        run();
+}
+
+/// Removes the entry of a server that has been silent towards the store for long enough.
+void ReplicationModel::removeEntry(Server &silent)
+{
+    time_.after(entryLifetime, [this, &silent, silence = ++silent.silences] {
+        if (silent.silences != silence || (silent.runs() && silent.reachesStore))
+            return;
+        note("entry is removed", silent.registration.id);
+        silent.registered = false;
+        publish();
+    });
+}
+
+/// Writes the entry of a server again with one of its next heartbeats.
+void ReplicationModel::registerAgain(Server &returned)
+{
+    ++returned.silences;
+    time_.after(between(0ms, heartbeatInterval), [this, &returned, silence = returned.silences] {
+        if (returned.silences != silence || !returned.runs() || !returned.reachesStore)
+            return;
+        returned.registered = true;
+        publish();
+    });
+}
+
+/// A server that has missed a promotion becomes a replica and drops what the promotion has rolled
+/// back.
+void ReplicationModel::rollBack(Server &returned) const
+{
+    if (returned.term >= term_)
+        return;
+    const auto &kept = promotedLog_;
+    auto &log = returned.log;
+    const auto common = std::mismatch(log.begin(), log.end(), kept.begin(), kept.end());
+    log.erase(common.first, log.end());
+    returned.term = term_;
+    returned.primary = returned.registration.primary = false;
+    returned.pausedUntil = 0;
+}
+
+void ReplicationModel::darken(const std::string &id, Duration duration)
+{
+    note("is dark", id);
+    auto &dark = server(id);
+    dark.dark = true;
+    removeEntry(dark);
+    time_.after(duration, [this, &dark] {
+        note("answers again", dark.registration.id);
+        dark.dark = false;
+        if (dark.crashed)
+            return;
+        if (dark.term < term_)
+            endWaitingCommits(dark);
+        rollBack(dark);
+        for (const auto &run : std::exchange(dark.onWake, {}))
+            run();
+        registerAgain(dark);
+        publish();
+    });
+}
+
+void ReplicationModel::cutFromStore(const std::string &id, Duration duration)
+{
+    note("is cut from the store", id);
+    auto &cut = server(id);
+    cut.reachesStore = false;
+    removeEntry(cut);
+    time_.after(duration, [this, &cut] {
+        note("reaches the store again", cut.registration.id);
+        cut.reachesStore = true;
+        if (!cut.crashed)
+            registerAgain(cut);
+    });
+}
+
+void ReplicationModel::delayAnswers(const std::string &id, Duration delay, Duration duration)
+{
+    note("answers late", id);
+    server(id).answerDelay = delay;
+    time_.after(duration, [this, id] { server(id).answerDelay = Duration(0); });
+}
+
 void ReplicationModel::setDeaf(const std::string &id, bool deaf)
 {
     note(deaf ? "receives nothing" : "receives again", id);
@@ -734,6 +848,12 @@
     shareSuspicions();
 }
 
+void ReplicationModel::restartAllProxies()
+{
+    for (std::size_t proxy = 0; proxy < proxies_.size(); ++proxy)
+        restartProxy(proxy);
+}
+
 void ReplicationModel::takeStoreAway(Duration duration)
 {
     note("the store is away", std::to_string(duration.count() / 1000) + " ms");
@@ -788,10 +908,11 @@
     return !server(id).crashed;
 }
 
-std::vector<std::string> ReplicationModel::lostStatements() const
+/// The acknowledged commits that the log of \a holder lacks.
+std::vector<std::string> ReplicationModel::missingFrom(const Server &holder) const
 {
     std::set<std::string> kept;
-    for (const auto &entry : server(leader_).log)
+    for (const auto &entry : holder.log)
         kept.insert(entry.statement);
     std::vector<std::string> missing;
     std::copy_if(acknowledged_.begin(), acknowledged_.end(), std::back_inserter(missing),
@@ -799,4 +920,12 @@
     return missing;
 }
 
+std::vector<std::string> ReplicationModel::lostStatements() const
+{
+    auto lost = lostAtPromotions_;
+    const auto missing = missingFrom(server(leader_));
+    lost.insert(missing.begin(), missing.end());
+    return {lost.begin(), lost.end()};
+}
+
 } // namespace shallotwalk
--- a/tests/sessions/replicationmodel.h
+++ b/tests/sessions/replicationmodel.h
@@ -36,12 +36,21 @@
     void crash(const std::string &id);
     /// Starts a crashed server again, with its log.
     void restart(const std::string &id);
+    /// The server \a id is silent for \a duration: it neither answers nor receives. Its connections
+    /// stay, and what is sent to it is handled afterwards.
+    void darken(const std::string &id, Duration duration);
+    /// The server \a id runs on without reaching the store for \a duration, so that its entry may
+    /// be removed.
+    void cutFromStore(const std::string &id, Duration duration);
+    /// The answers of \a id take \a delay longer for \a duration.
+    void delayAnswers(const std::string &id, Duration delay, Duration duration);
     /// While \a deaf, the replica \a id receives nothing.
     void setDeaf(const std::string &id, bool deaf);
     /// Clients hold transactions on all connections that the proxies have to \a id; empty: none.
     void holdTransactions(const std::string &id);
     void freezeProxy(std::size_t proxy, Duration duration);
     void restartProxy(std::size_t proxy);
+    void restartAllProxies();
     void takeStoreAway(Duration duration);
 
     std::string primary() const; ///< The running primary; empty if there is none.
@@ -50,7 +59,8 @@
     /// Servers that were promoted, in order.
     const std::vector<std::string> &promoted() const { return promoted_; }
     std::size_t acknowledged() const { return acknowledged_.size(); }
-    /// Acknowledged commits that the log of the last primary lacks.
+    /// Acknowledged commits that a server lacked when it was promoted, or that the log of the last
+    /// primary lacks.
     std::size_t lost() const { return lostStatements().size(); }
     /// Time since a write was acknowledged.
     Duration sinceAcknowledged() const { return time_.now() - acknowledgedAt_; }
@@ -60,6 +70,13 @@
 
 private:
     struct Server;
+    struct LogEntry
+    {
+        Term term = 0;
+        std::string statement;
+
+        bool operator==(const LogEntry &) const = default;
+    };
     class Proxy;
 
     void pump();
@@ -74,7 +91,13 @@
     void lead(Server &chosen, std::int64_t token);
     Server &server(const std::string &id) const;
     Server *leader() const;
+    /// Runs \a run now, or once \a target isn't dark any more.
+    void whenAwake(Server &target, std::function<void()> run);
+    void removeEntry(Server &silent);
+    void registerAgain(Server &returned);
+    void rollBack(Server &returned) const;
     Server &addServer();
+    std::vector<std::string> missingFrom(const Server &holder) const;
     std::vector<std::string> lostStatements() const;
     std::string timeText() const;
     void note(std::string_view event, std::string_view subject);
@@ -90,6 +113,7 @@
     std::vector<std::unique_ptr<Proxy>> endedProxies_; ///< Kept for events that refer to them.
     std::map<std::size_t, std::string> suspicions_;    ///< Suspected server by proxy.
     std::string leader_;                               ///< The last primary.
+    std::vector<LogEntry> promotedLog_;                ///< Its log when it was promoted.
     std::string heldServer_;                           ///< See holdTransactions().
     Term term_ = 1;
     PromotionRecord record_;
@@ -98,6 +122,7 @@
     std::uint64_t published_ = 0;
     RequestNumber requests_ = 0;
     std::set<std::string> acknowledged_;
+    std::set<std::string> lostAtPromotions_;
     TimePoint acknowledgedAt_;
     std::map<std::string, std::string> acknowledgements_; ///< Where and when, for trace().
     std::uint64_t inDoubt_ = 0;
