Keep a replica that is behind the last promotion from being promoted

Cause: a new primary may be the only server that holds what it had confirmed before, beside the former primary. Neither counted: the former one never was a replica, and the list of replicas that have left is cleared when a new term begins, since its primary was taken to hold everything.

Change: the position of the last promotion's record is a floor. Logs are prefixes of one another, so a replica whose log ends before it lacks acknowledged commits, or may lack them. It is in the store, so it outlives restarts of all proxies. A withdrawn order keeps its position in the record.

Ruled out: to remember former primaries in the list of those who left, since it would have to outlive terms and restarts, and would be one more special case.

Evidence: replication/replica_behind_the_last_promotion_is_not_promoted failed before and passes.

--- a/src/core/groupscheduler_promotion.cpp
+++ b/src/core/groupscheduler_promotion.cpp
@@ -256,6 +256,9 @@
     else if (lastPromotion_->revision >= record.revision
              || !mergePromotion(record, *lastPromotion_))
         return;
+    // Records of withdrawn orders by older versions have no position.
+    if (record.position != Position{})
+        planner_.setLogFloor(record.position);
     if (record.server.empty()) {
         planner_.orderWithdrawn(now);
         return;
--- a/src/core/promotionplanner.cpp
+++ b/src/core/promotionplanner.cpp
@@ -120,7 +120,7 @@
             && hasRecentReport(server, settings_.maxReportAge, now))
             longest = std::max(longest, server.received);
     }
-    return holdersBeyond(departed, longest).size() < confirmReplicas_;
+    return longest >= logFloor_ && holdersBeyond(departed, longest).size() < confirmReplicas_;
 }
 
 /// Whether the primary still answers and hasn't been asked, or hasn't had the time, to stop
@@ -240,7 +240,10 @@
         return step;
     if (confirmReplicas_ > 0) {
         step.blockedBy = holdersBeyond(departed, best->received);
-        if (step.blockedBy.size() < confirmReplicas_) {
+        const bool reachesFloor = best->received >= logFloor_;
+        if (!reachesFloor)
+            step.blockedBy.emplace_back("last_promotion");
+        if (reachesFloor && step.blockedBy.size() < confirmReplicas_) {
             step.blockedBy.clear();
         } else if (const auto *former = demotedPrimary(servers, now)) {
             // The paused replicas can't receive what they lack, but the former primary holds it.
--- a/src/core/promotionplanner.h
+++ b/src/core/promotionplanner.h
@@ -79,8 +79,8 @@
     std::string server;           ///< The server to promote; empty if none.
     Position position;            ///< Last position in the log of \c server.
     std::string reason;           ///< Why the primary must be replaced; empty if it needn't be.
-    /// Replicas that may hold acknowledged commits which no server to promote holds; they prevent
-    /// the choice.
+    /// What prevents the choice: ids of replicas that may hold acknowledged commits which no server
+    /// to promote holds, or "last_promotion" if all of these end before the last promotion.
     std::vector<std::string> blockedBy;
 };
 
@@ -97,7 +97,9 @@
 /// promotion by themselves. A replica that joins later isn't paused when it confirms its first
 /// commits, so a primary that still answers is demoted before the order. A replica that has left
 /// may have confirmed what no other holds; nothing is promoted until a server to promote is known
-/// to hold it too, or the replica or the primary is back. Not thread-safe.
+/// to hold it too, or the replica or the primary is back. A server whose log ends before that of
+/// the server promoted last lacks commits that were acknowledged before, or may lack them, so it is
+/// never promoted, however long the others are away. Not thread-safe.
 class PromotionPlanner
 {
 public:
@@ -121,6 +123,10 @@
     /// commits don't wait for replicas.
     void setConfirmReplicas(std::uint32_t count) { confirmReplicas_ = count; }
 
+    /// Sets where the log of the server that was promoted last ended at its promotion. All commits
+    /// acknowledged before are within it; matters only where commits wait for replicas.
+    void setLogFloor(Position position) { logFloor_ = position; }
+
     /// Records that this proxy has ordered a promotion.
     void orderGiven(TimePoint now) { nextOrderAt_ = now + settings_.orderInterval; }
 
@@ -158,6 +164,7 @@
 
     FailoverSettings settings_;
     std::uint32_t confirmReplicas_ = 0;
+    Position logFloor_;                ///< See setLogFloor().
     bool witnessesAgree_ = true;       ///< At least half of the witnesses suspect the primary.
     TimePoint nextOrderAt_;            ///< No order before this, because of this proxy's last one.
     TimePoint nextOrderAfterOthersAt_; ///< No order before this, because of another proxy's.
--- a/src/gateway/promotionactor.cpp
+++ b/src/gateway/promotionactor.cpp
@@ -185,8 +185,15 @@
 void PromotionActor::withdraw(const Order &order)
 {
     const auto &service = order.choice.service;
-    const PromotionRecord record{service, {}, context_.vm, order.nonce,
-                                 {},      {}, 0,           order.number + 1};
+    // The server that was chosen may hold commits up to its position that others lack.
+    const PromotionRecord record{service,
+                                 {},
+                                 context_.vm,
+                                 order.nonce,
+                                 order.choice.position,
+                                 {},
+                                 order.choice.endedTerm,
+                                 order.number + 1};
     call(context_.storeCaller,
          context_.protocols.store->write(std::string(promotionsPrefix) + service,
                                          encodePromotion(record), 0, order.revision),
