Record the departure of a replica when its last contact is lost

Cause: a departure was recorded when the last connection of a server without an entry was closed. A silent server leaves an attempt to connect pending for up to 1 s. Until it was given up, the replica was neither registered, nor running without an entry, nor departed.

Change: it is recorded when the second of entry and last open connection is lost, whatever attempts are pending, and anew after each later contact. Connections to such a server are attempted for 15 s more: one that runs without an entry may be silent for a moment and then confirm commits again.

Ruled out: to give up pending attempts at once, since a server that accepts late would be lost sight of.

--- a/src/core/departedreplicas.cpp
+++ b/src/core/departedreplicas.cpp
@@ -2,9 +2,19 @@
 
 namespace shallotwalk {
 
+void DepartedReplicas::add(DepartedReplica replica)
+{
+    returned(replica.id);
+    replicas_.push_back(std::move(replica));
+}
+
+void DepartedReplicas::returned(std::string_view id)
+{
+    std::erase_if(replicas_, [&](const auto &replica) { return replica.id == id; });
+}
+
 void DepartedReplicas::addUnknown(TimePoint now)
 {
-    std::erase_if(replicas_, [](const auto &replica) { return replica.id.empty(); });
     add({{}, now, std::nullopt, {}});
 }
 
--- a/src/core/departedreplicas.h
+++ b/src/core/departedreplicas.h
@@ -28,9 +28,12 @@
 class DepartedReplicas
 {
 public:
-    /// Records a replica that has left. It has a limit from the start if it had been paused, so
-    /// that it could receive nothing more.
-    void add(DepartedReplica replica) { replicas_.push_back(std::move(replica)); }
+    /// Records a replica that has left, in place of an earlier departure of the same. It has a
+    /// limit from the start if it had been paused, so that it could receive nothing more.
+    void add(DepartedReplica replica);
+
+    /// The replica \a id can be asked again, so that its own reports tell what it holds.
+    void returned(std::string_view id);
 
     /// Records that replicas may have come and left unseen until \a now.
     void addUnknown(TimePoint now);
--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -282,6 +282,8 @@
     /// Whether a server is kept connected and asked for reports, even if it may get no requests.
     bool monitored(const ServerLink &link, TimePoint now) const;
     bool runsWithoutEntry(const ServerLink &link) const;
+    /// Whether a server of the same id has been registered since \a link lost its entry.
+    bool restarted(const ServerLink &link) const;
     Term newestTerm() const;
     /// Whether statements that need the primary must wait: it is unknown, suspected, not usable, or
     /// has been silent for half of the silence limit.
@@ -305,8 +307,12 @@
     /// Whether writes must wait for the end of a promotion.
     bool writesMustWait(const GroupRequest &request) const;
     void wantDemotion(bool wanted, TimePoint now);
-    /// Records that a replica which may have confirmed commits is gone.
-    void recordDeparture(const ServerLink &link, TimePoint now);
+    /// Records that a replica which may have confirmed commits is gone, if it has lost the last of
+    /// its entry and its open connections.
+    void recordDeparture(ServerLink &link, TimePoint now);
+    /// Whether a server that is gone is still tried: it may run without an entry, be silent for a
+    /// moment and then confirm commits again.
+    bool mayReturn(const ServerLink &link, TimePoint now) const;
     /// Asks for the reports that show that departed replicas held nothing more than others.
     void reviewDeparted(TimePoint now);
     void clearSuspicion();
--- a/src/core/groupscheduler_connections.cpp
+++ b/src/core/groupscheduler_connections.cpp
@@ -64,10 +64,8 @@
     closed.insert(closed.end(), closedControl.begin(), closedControl.end());
     for (const auto id : closed)
         closeIdleConnection({number, id}, now);
-    if (!link->registered && link->connections.empty()) {
-        recordDeparture(*link, now);
+    if (!link->registered && link->connections.empty() && !mayReturn(*link, now))
         servers_.erase(number);
-    }
 }
 
 bool GroupScheduler::mayBurst(const ServerLink &link, TimePoint now) const
@@ -100,6 +98,7 @@
     port_.closeConnection(key);
     link.connections.erase(key.connection);
     link.budget.closed(key.connection, false, now);
+    recordDeparture(link, now);
 }
 
 void GroupScheduler::keepConnected(ServerNumber number, TimePoint now)
--- a/src/core/groupscheduler_promotion.cpp
+++ b/src/core/groupscheduler_promotion.cpp
@@ -14,6 +14,9 @@
 /// a promotion. Every server that still runs has an entry long before.
 constexpr Duration unknownHistoryLimit = std::chrono::seconds(15);
 
+/// Time for which connections to a server that is gone are still attempted.
+constexpr Duration returnLimit = std::chrono::seconds(15);
+
 } // namespace
 
 void GroupScheduler::setPrimary(ServerNumber number, Term term, TimePoint now)
@@ -183,16 +186,23 @@
     return confirmReplicas_ == 0 ? !step.reason.empty() : step.server == server;
 }
 
-void GroupScheduler::recordDeparture(const ServerLink &link, TimePoint now)
+void GroupScheduler::recordDeparture(ServerLink &link, TimePoint now)
 {
-    if (confirmReplicas_ == 0 || link.lastPrimary)
+    const bool present = link.registered || link.openConnections() > 0;
+    if (confirmReplicas_ == 0 || present || link.departedAt || link.lastPrimary)
         return;
+    link.departedAt = now;
     DepartedReplica replica{link.registration.id, now, std::nullopt, link.received};
     if (link.stoppedUntilTerm > newestTerm())
         replica.limit = link.stoppedAt;
     departed_.add(std::move(replica));
 }
 
+bool GroupScheduler::mayReturn(const ServerLink &link, TimePoint now) const
+{
+    return link.departedAt && now - *link.departedAt < returnLimit && !restarted(link);
+}
+
 void GroupScheduler::reviewDeparted(TimePoint now)
 {
     if (confirmReplicas_ == 0)
--- a/src/core/groupscheduler_replies.cpp
+++ b/src/core/groupscheduler_replies.cpp
@@ -92,6 +92,8 @@
     link.openingTime = now - connection.lastUsed;
     connection.open = true;
     connection.lastUsed = now;
+    if (std::exchange(link.departedAt, std::nullopt))
+        departed_.returned(link.registration.id);
     if (reply.position)
         link.term = std::max(link.term, reply.position->term);
     link.budget.opened(key.connection, now);
@@ -468,6 +470,7 @@
     const auto lost = link.connections.extract(key.connection);
     const auto &connection = lost.mapped();
     link.budget.closed(key.connection, !connection.open, now);
+    recordDeparture(link, now);
     bool wrote = false;
     if (connection.session) {
         const auto transaction = transactions_.find(*connection.session);
--- a/src/core/groupscheduler_servers.cpp
+++ b/src/core/groupscheduler_servers.cpp
@@ -62,16 +62,21 @@
     // A leaving replica receives and confirms commits until it stops, and one without an entry may
     // do so as long as it is connected.
     return usable(link, now)
-           || (confirmReplicas_ > 0 && (link.registered || runsWithoutEntry(link)));
+           || (confirmReplicas_ > 0
+               && (link.registered || runsWithoutEntry(link) || mayReturn(link, now)));
 }
 
 /// Whether a server without an entry still has a connection, and hasn't started again since.
 bool GroupScheduler::runsWithoutEntry(const ServerLink &link) const
 {
-    const bool restarted = std::any_of(servers_.begin(), servers_.end(), [&](const auto &entry) {
+    return !link.registered && !restarted(link) && link.openConnections() > 0;
+}
+
+bool GroupScheduler::restarted(const ServerLink &link) const
+{
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto &entry) {
         return entry.second.registered && entry.second.registration.id == link.registration.id;
     });
-    return !link.registered && !restarted && link.openConnections() > 0;
 }
 
 Term GroupScheduler::newestTerm() const
@@ -147,6 +152,7 @@
     const bool lostPrimaryRole = !registration.primary && link.registration.primary;
     link.registration = registration;
     link.registered = true;
+    link.departedAt.reset();
     if (!registration.leaving)
         link.leavingSince.reset();
     else if (!link.leavingSince)
@@ -171,6 +177,7 @@
         // limit.
         primaryMissingSince_ = now - settings_.failover.missingPrimaryLimit;
     }
+    recordDeparture(link, now);
     requeueFrom(number, now);
     closeSurplusConnections(number, now);
 }
--- a/src/core/serverlink.h
+++ b/src/core/serverlink.h
@@ -87,6 +87,9 @@
     TimePoint demotedAt = TimePoint{};
     std::optional<TimePoint> demotionWantedAt; ///< Since when a demotion has been wanted.
     bool demotionRefused = false; ///< It answered the last demotion, but is still primary.
+    /// Since when it has had neither an entry nor an open connection, where commits wait for
+    /// replicas.
+    std::optional<TimePoint> departedAt;
     std::optional<TimePoint> leavingSince;
     TimePoint reportedAt = TimePoint{};
     TimePoint reportRequestedAt = TimePoint{};
--- a/tests/sessions/test_promotionplanner.cpp
+++ b/tests/sessions/test_promotionplanner.cpp
@@ -321,6 +321,13 @@
     departed.add({"d", now, std::nullopt, {1, 90}});
     departed.replicaReported("d", {1, 90});
     BOOST_TEST(departed.replicas().empty());
+    // It is gone a second time: what the primary has said before doesn't bound what it holds.
+    departed.add({"d", now, Position{1, 95}, {1, 90}});
+    departed.add({"d", now, std::nullopt, {1, 90}});
+    BOOST_REQUIRE(departed.replicas().size() == 1);
+    BOOST_TEST(!departed.replicas().front().limit.has_value());
+    departed.returned("d");
+    BOOST_TEST(departed.replicas().empty());
     departed.add({"d", now, std::nullopt, {1, 90}});
     departed.addUnknown(now);
     departed.termChanged();
