Compare the chosen replica with each one that may hold commits

Cause: the check that one of the paused replicas holds every commit counted those without an entry, but only a registered one can be chosen, and nobody compared the choice with those that were counted.

Change: each replica that isn't known to be paused, and each paused one with a longer log, counts as a holder, together with those that have left; fewer than sync_replicas may remain. What a promotion has rolled back doesn't count. Nothing is paused while no server that could be chosen can come to hold what others hold.

Ruled out: to choose a server without an entry, since an entry that stays away means that it is gone.

--- a/src/core/promotionplanner.cpp
+++ b/src/core/promotionplanner.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Stands in FailoverStep::blockedBy for the servers that hold the log of the last promotion.
+constexpr std::string_view lastPromotionHolder = "last_promotion";
+
 /// Whether \a server is a replica that may confirm commits.
 bool mayConfirm(const FailoverCandidate &server)
 {
@@ -29,15 +32,14 @@
     return satisfied > 0 && missing < confirmReplicas;
 }
 
-/// The departed replicas that may hold acknowledged commits beyond \a position.
-std::vector<std::string> holdersBeyond(std::span<const DepartedReplica> departed, Position position)
+/// Adds the departed replicas that may hold acknowledged commits beyond \a position to \a holders.
+void addHoldersBeyond(std::span<const DepartedReplica> departed, Position position,
+                      std::vector<std::string> &holders)
 {
-    std::vector<std::string> holders;
     for (const auto &replica : departed) {
         if (!replica.limit || *replica.limit > position)
             holders.push_back(replica.id.empty() ? "unknown" : replica.id);
     }
-    return holders;
 }
 
 /// Whether some replica may still receive log data.
@@ -108,11 +110,49 @@
     return found == servers.end() ? nullptr : &*found;
 }
 
-/// Whether the replicas that report can be known to hold what departed ones have confirmed. While
-/// they aren't paused they may still receive it from a primary that answers.
-bool PromotionPlanner::mayCoverDeparted(std::span<const FailoverCandidate> servers,
-                                        std::span<const DepartedReplica> departed,
-                                        TimePoint now) const
+/// Whether a replica is known to receive nothing more. A pause ends with a restart of the replica,
+/// so only a recent report shows it.
+bool PromotionPlanner::isPaused(const FailoverCandidate &server, TimePoint now) const
+{
+    return server.paused && hasRecentReport(server, settings_.maxReportAge, now);
+}
+
+/// The position beyond which the log of a replica holds no acknowledged commit; empty while that
+/// isn't known.
+std::optional<Position> PromotionPlanner::holdsAtMost(const FailoverCandidate &server,
+                                                      TimePoint now) const
+{
+    if (!isPaused(server, now))
+        return std::nullopt;
+    // What the last promotion has rolled back isn't acknowledged.
+    const bool rolledBack = server.mayHaveForked && logFloor_ != Position{};
+    return rolledBack ? std::min(server.received, logFloor_) : server.received;
+}
+
+/// The replicas, other than \a chosen, that may hold acknowledged commits which it lacks: those
+/// that can't be chosen, but have confirmed commits, count like those that can.
+std::vector<std::string> PromotionPlanner::holdersBeyond(std::span<const FailoverCandidate> servers,
+                                                         std::span<const DepartedReplica> departed,
+                                                         const FailoverCandidate &chosen,
+                                                         TimePoint now) const
+{
+    std::vector<std::string> holders;
+    for (const auto &server : servers) {
+        if (&server == &chosen || !mayConfirm(server))
+            continue;
+        const auto most = holdsAtMost(server, now);
+        if (!most || *most > chosen.received)
+            holders.emplace_back(server.id);
+    }
+    addHoldersBeyond(departed, chosen.received, holders);
+    return holders;
+}
+
+/// The replicas that may hold acknowledged commits which none of those that report and can be
+/// chosen is going to hold, unless it receives them from a primary that answers.
+std::vector<std::string>
+PromotionPlanner::unreachableHolders(std::span<const FailoverCandidate> servers,
+                                     std::span<const DepartedReplica> departed, TimePoint now) const
 {
     Position longest;
     for (const auto &server : servers) {
@@ -120,7 +160,15 @@
             && hasRecentReport(server, settings_.maxReportAge, now))
             longest = std::max(longest, server.received);
     }
-    return longest >= logFloor_ && holdersBeyond(departed, longest).size() < confirmReplicas_;
+    std::vector<std::string> holders;
+    for (const auto &server : servers) {
+        if (mayConfirm(server) && !server.registered && server.received > longest)
+            holders.emplace_back(server.id);
+    }
+    addHoldersBeyond(departed, longest, holders);
+    if (longest < logFloor_)
+        holders.emplace_back(lastPromotionHolder);
+    return holders;
 }
 
 /// Whether the primary still answers and hasn't been asked, or hasn't had the time, to stop
@@ -137,6 +185,14 @@
            || now - *primary->demotionWantedAt < settings_.demotionTimeout;
 }
 
+/// Whether enough replicas may hold a commit that it can have been acknowledged, or all servers to
+/// promote end before the last promotion.
+bool PromotionPlanner::preventChoice(std::span<const std::string> holders) const
+{
+    return holders.size() >= confirmReplicas_
+           || std::find(holders.begin(), holders.end(), lastPromotionHolder) != holders.end();
+}
+
 bool PromotionPlanner::hasRecentReport(const FailoverCandidate &server, Duration maxReportAge,
                                        TimePoint now) const
 {
@@ -217,21 +273,23 @@
     step.requestReports = true;
     if (!reasonCertain && !witnessesAgree_)
         return step;
-    // A pause ends with a restart of the replica, so only a recent report shows it.
-    const auto isPaused = [&](const auto &server) {
-        return server.paused && hasRecentReport(server, settings_.maxReportAge, now);
-    };
     if (confirmReplicas_ > 0) {
+        const auto paused = [&](const auto &server) { return isPaused(server, now); };
+        step.blockedBy = unreachableHolders(servers, departed, now);
         // A replica that joins while an order is pending must be paused too. With too few reachable
         // replicas a pause would block commits without allowing a promotion.
         step.pauseReplicas =
-            needsPause(servers) && mayCoverDeparted(servers, departed, now)
-            && (std::any_of(servers.begin(), servers.end(), isPaused)
+            needsPause(servers) && !preventChoice(step.blockedBy)
+            && (std::any_of(servers.begin(), servers.end(), paused)
                 || coverCommits(servers, confirmReplicas_, [&](const auto &server) {
                        return hasRecentReport(server, settings_.maxReportAge, now);
                    }));
-        if (!coverCommits(servers, confirmReplicas_, isPaused))
+        if (!coverCommits(servers, confirmReplicas_, paused)) {
+            if (!preventChoice(step.blockedBy))
+                step.blockedBy.clear();
             return step;
+        }
+        step.blockedBy.clear();
     }
     const auto *best = successor(servers, now);
     if (best == nullptr)
@@ -239,11 +297,10 @@
     if (awaitsJoins(servers, best->received, now))
         return step;
     if (confirmReplicas_ > 0) {
-        step.blockedBy = holdersBeyond(departed, best->received);
-        const bool reachesFloor = best->received >= logFloor_;
-        if (!reachesFloor)
-            step.blockedBy.emplace_back("last_promotion");
-        if (reachesFloor && step.blockedBy.size() < confirmReplicas_) {
+        step.blockedBy = holdersBeyond(servers, departed, *best, now);
+        if (best->received < logFloor_)
+            step.blockedBy.emplace_back(lastPromotionHolder);
+        if (!preventChoice(step.blockedBy)) {
             step.blockedBy.clear();
         } else if (const auto *former = demotedPrimary(servers, now)) {
             // The paused replicas can't receive what they lack, but the former primary holds it.
--- a/src/core/promotionplanner.h
+++ b/src/core/promotionplanner.h
@@ -154,8 +154,15 @@
                      TimePoint now) const;
     const FailoverCandidate *demotedPrimary(std::span<const FailoverCandidate> servers,
                                             TimePoint now) const;
-    bool mayCoverDeparted(std::span<const FailoverCandidate> servers,
-                          std::span<const DepartedReplica> departed, TimePoint now) const;
+    bool preventChoice(std::span<const std::string> holders) const;
+    bool isPaused(const FailoverCandidate &server, TimePoint now) const;
+    std::optional<Position> holdsAtMost(const FailoverCandidate &server, TimePoint now) const;
+    std::vector<std::string> holdersBeyond(std::span<const FailoverCandidate> servers,
+                                           std::span<const DepartedReplica> departed,
+                                           const FailoverCandidate &chosen, TimePoint now) const;
+    std::vector<std::string> unreachableHolders(std::span<const FailoverCandidate> servers,
+                                                std::span<const DepartedReplica> departed,
+                                                TimePoint now) const;
     bool awaitsDemotion(std::span<const FailoverCandidate> servers, TimePoint now) const;
     bool hasRecentReport(const FailoverCandidate &server, Duration maxReportAge,
                          TimePoint now) const;
--- a/tests/sessions/test_promotionplanner.cpp
+++ b/tests/sessions/test_promotionplanner.cpp
@@ -356,6 +356,33 @@
     BOOST_TEST(step.server == "p");
 }
 
+// Guards against the promotion of a replica that lacks commits which only one that can't be chosen
+// has confirmed: that one counted as a holder, but wasn't compared with the choice.
+BOOST_AUTO_TEST_CASE(replica_that_cannot_be_chosen_and_holds_more_prevents_the_choice)
+{
+    planner.setConfirmReplicas(1);
+    primary.refusedFor = 1s;
+    replica.paused = true;
+    auto holder = replica;
+    holder.id = "h";
+    holder.received = {1, 101};
+    holder.registered = false;
+    holder.runsWithoutEntry = true;
+    auto step = review({primary, replica, holder});
+    BOOST_TEST(step.server.empty());
+    BOOST_REQUIRE(step.blockedBy.size() == 1);
+    BOOST_TEST(step.blockedBy.front() == "h");
+    // Nor is a replica paused that could not be chosen then.
+    replica.paused = false;
+    BOOST_TEST(!review({primary, replica, holder}).pauseReplicas);
+    replica.paused = true;
+    holder.received = replica.received;
+    BOOST_TEST(review({primary, replica, holder}).server == "r");
+    holder.received = {1, 101};
+    holder.registered = true;
+    BOOST_TEST(review({primary, replica, holder}).server == "h");
+}
+
 // Guards against replicas that stay paused, and commits that stay blocked, after the proxy that
 // paused the replicas has ended.
 BOOST_AUTO_TEST_CASE(paused_replicas_lead_to_a_promotion)
