--- a/src/core/core.h
+++ b/src/core/core.h
@@ -39,6 +39,7 @@
 #include "core/keyvalue.h"
 #include "core/lease.h"
 #include "core/leavingservers.h"
+#include "core/logfloor.h"
 #include "core/membership.h"
 #include "core/membershipmessage.h"
 #include "core/ownerdirectory.h"
--- a/src/core/exchange/exchangemessage.h
+++ b/src/core/exchange/exchangemessage.h
@@ -17,6 +17,8 @@
     Position position;
     /// When the primary was asked. In messages on the sender's clock, else on this proxy's.
     TimePoint sentAt;
+    /// A commit at this position or beyond has been acknowledged; Position() if none is known.
+    Position acknowledged = {};
 
     bool operator==(const SharedWatermark &) const = default;
 };
--- a/src/core/exchange/watermarkexchange.cpp
+++ b/src/core/exchange/watermarkexchange.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Bytes of a watermark in a message besides the name of its group, at most.
-constexpr std::size_t watermarkBytes = 26;
+constexpr std::size_t watermarkBytes = 41;
 
 } // namespace
 
@@ -79,9 +79,18 @@
     auto &known = known_[watermark.service];
     const bool olderTerm = watermark.position.term < known.position.term;
     const bool sameTerm = watermark.position.term == known.position.term;
-    if (olderTerm || (sameTerm && watermark.sentAt <= known.sentAt))
-        return false;
-    known = {watermark.position, watermark.sentAt, std::string(source), forRelays, forDataCentre};
+    const auto acknowledged = std::max(known.acknowledged, watermark.acknowledged);
+    if (olderTerm || (sameTerm && watermark.sentAt <= known.sentAt)) {
+        if (acknowledged == known.acknowledged)
+            return false;
+        known.acknowledged = acknowledged;
+        known.source = source;
+        known.forRelays = known.forRelays || forRelays;
+        known.forDataCentre = known.forDataCentre || forDataCentre;
+        return true;
+    }
+    known = {watermark.position,  watermark.sentAt, acknowledged,
+             std::string(source), forRelays,        forDataCentre};
     return true;
 }
 
@@ -104,11 +113,17 @@
     for (const auto &watermark : message.watermarks) {
         const auto sentAt = peer.clock.toLocal(message.incarnation, watermark.sentAt, now);
         // A time to come can only be an error of the sender.
-        if (!sentAt || *sentAt > now) {
+        SharedWatermark local = watermark;
+        if (sentAt && *sentAt <= now) {
+            local.sentAt = *sentAt;
+        } else {
             ++counters_.undated;
-            continue;
+            if (watermark.acknowledged == Position())
+                continue;
+            // That a commit was acknowledged is true without a time: the log reached it at some.
+            local.position = watermark.acknowledged;
+            local.sentAt = TimePoint();
         }
-        const SharedWatermark local{watermark.service, watermark.position, *sentAt};
         if (take(local, message.sender, false, !message.relayed && isRelay()))
             taken.push_back(local);
     }
@@ -155,7 +170,7 @@
     std::vector<SharedWatermark> forRelays;
     std::map<std::string, std::vector<SharedWatermark>, std::less<>> forDataCentre; // By source.
     for (auto &[service, known] : known_) {
-        const SharedWatermark watermark{service, known.position, known.sentAt};
+        const SharedWatermark watermark{service, known.position, known.sentAt, known.acknowledged};
         if (std::exchange(known.forRelays, false))
             forRelays.push_back(watermark);
         if (std::exchange(known.forDataCentre, false))
--- a/src/core/exchange/watermarkexchange.h
+++ b/src/core/exchange/watermarkexchange.h
@@ -66,7 +66,7 @@
     void observed(const SharedWatermark &watermark);
 
     /// Handles a message. Returns the watermarks that are newer than those known here, with times
-    /// of this proxy's clock.
+    /// of this proxy's clock. Those that tell of a newer acknowledged commit are returned too.
     std::vector<SharedWatermark> receive(const ExchangeMessage &message, TimePoint now);
 
     /// Returns the messages to send at \a now.
@@ -88,6 +88,7 @@
     {
         Position position;
         TimePoint sentAt;
+        Position acknowledged;
         std::string source; ///< VM that it came from; empty if from a server.
         bool forRelays = false;
         bool forDataCentre = false;
--- a/src/core/groupport.h
+++ b/src/core/groupport.h
@@ -24,10 +24,11 @@
 struct PromotionChoice
 {
     std::string service;
-    std::string server; ///< Becomes the primary.
-    Position position;  ///< End of the server's log, as last reported.
-    std::string reason; ///< Why the primary is replaced, for logs.
-    Term endedTerm = 0; ///< See PromotionRecord::endedTerm.
+    std::string server;  ///< Becomes the primary.
+    Position position;   ///< End of the server's log, as last reported.
+    std::string reason;  ///< Why the primary is replaced, for logs.
+    Term endedTerm = 0;  ///< See PromotionRecord::endedTerm.
+    Position floor = {}; ///< See PromotionRecord::floor.
 
     bool operator==(const PromotionChoice &) const = default;
 };
@@ -65,8 +66,9 @@
                                    Duration retryDelay) = 0;
 
     /// Passes on to the other proxies that the primary's log ended at \a position when it answered
-    /// a command sent at \a sentAt.
-    virtual void shareWatermark(Position position, TimePoint sentAt) = 0;
+    /// a command sent at \a sentAt, and that a commit at \a acknowledged or beyond has been
+    /// acknowledged; Position() if none is known.
+    virtual void shareWatermark(Position position, TimePoint sentAt, Position acknowledged) = 0;
 
     /// Tells the other proxies whether this proxy suspects the primary, \a server, of being unable
     /// to serve. An empty \a server stands for a group without a known primary.
--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -2,6 +2,7 @@
 
 #include "core/directory.h"
 #include "core/groupport.h"
+#include "core/logfloor.h"
 #include "core/promotionplanner.h"
 #include "core/serverlink.h"
 #include "core/staleness/watermarksharing.h"
@@ -118,6 +119,11 @@
     /// in any order and more than once.
     void promotionSeen(const PromotionRecord &record, TimePoint now);
 
+    /// Returns how long to wait before confirmsPromotion() is asked about the last choice. A choice
+    /// that took long to record, because the store was away, waits for entries of servers that have
+    /// joined meanwhile.
+    Duration confirmationDelay(TimePoint now) const;
+
     /// Returns whether the choice of \a server, which has been recorded since it was made, still
     /// holds, so that the order may be given. A choice that is older than the reports that it rests
     /// on is checked again: while the store was away, the primary may have returned, or replicas
@@ -136,6 +142,9 @@
     /// command sent at \a sentAt or later.
     void watermarkHeard(Position position, TimePoint sentAt, TimePoint now);
 
+    /// Another proxy has passed on that a commit at \a position or beyond has been acknowledged.
+    void acknowledgedHeard(Position position);
+
     /// Sets the primaries that the other witnesses suspect of being unable to serve, with one entry
     /// for each suspecting witness, and the number of \a witnesses, including this proxy if it is
     /// one.
@@ -195,6 +204,7 @@
         /// Position that a replica's log must hold; empty if only the primary may serve it.
         std::optional<Position> requiredPosition;
         TimePoint sentAt;
+        Position logEndBefore; ///< End of the primary's log as known at sentAt.
         std::optional<TimePoint> firstSentAt;
         TimePoint holdUntil; ///< Time of refusal if no server could be reached before.
     };
@@ -241,8 +251,8 @@
     void handleOpening(ServerConnectionKey key, const ServerReply &reply, TimePoint now);
     void handleRefusal(ServerNumber number, AnswerCode code, TimePoint now);
     void handleBegin(ServerConnectionKey key, const ServerReply &reply, TimePoint now);
-    void handleStatement(ServerConnectionKey key, ServerReply reply, TimePoint sentAt,
-                         TimePoint now);
+    void handleStatement(ServerConnectionKey key, ServerReply reply,
+                         const ServerConnection::Outstanding &sent, TimePoint now);
     void handleReport(ServerLink &link, const ServerReply &reply, TimePoint sentAt, TimePoint now);
     void handleDemotion(ServerLink &link, const ServerReply &reply, TimePoint sentAt,
                         TimePoint now);
@@ -259,6 +269,7 @@
     void recordRetry(const Pending &pending, std::optional<AnswerCode> code);
     void clearPrimary(ServerLink &link, TimePoint now);
     void recordWatermark(Position position, TimePoint sentAt);
+    void recordAcknowledged(const ServerLink &link, const Pending &pending, Position logEnd);
     void finish(Pending &pending, GroupAnswer answer);
     void finishWithError(Pending &pending, AnswerCode code, std::string text);
     /// Ends \a pending in its server's admission policy, whether it is queued or running.
@@ -313,6 +324,8 @@
     /// Whether a server that is gone is still tried: it may run without an entry, be silent for a
     /// moment and then confirm commits again.
     bool mayReturn(const ServerLink &link, TimePoint now) const;
+    /// Whether a server led the newest term and isn't the primary any more.
+    bool ledNewestTerm(const ServerLink &link) const;
     /// Asks for the reports that show that departed replicas held nothing more than others.
     void reviewDeparted(TimePoint now);
     void clearSuspicion();
@@ -350,6 +363,8 @@
     Watermarks watermarks_;
     WatermarkSharing sharing_;
     PromotionPlanner planner_;
+    LogFloor floor_;              ///< Of a server to promote; see PromotionPlanner::setLogFloor().
+    Term sharedTerm_ = 0;         ///< Newest term of which an acknowledged commit was passed on.
     DepartedReplicas departed_;   ///< Empty where commits don't wait for replicas.
     bool historyUnknown_ = false; ///< Replicas may have come and left unseen until now.
     Term ledTerm_ = 0;            ///< Newest term that a primary is known to have led.
--- a/src/core/groupscheduler_promotion.cpp
+++ b/src/core/groupscheduler_promotion.cpp
@@ -58,10 +58,12 @@
 bool GroupScheduler::mayHaveForked(const ServerLink &link, TimePoint now) const
 {
     const bool fromOldTerm = link.received.term < newestTerm();
-    if (!lastPromotion_ || lastPromotion_->server.empty())
+    if (!lastPromotion_ || lastPromotion_->position == Position{})
         return fromOldTerm;
     const bool isAhead = link.received > lastPromotion_->position;
-    if (fromOldTerm || lastPromotion_->server == link.registration.id)
+    // The choice of a withdrawn order rested on a log that hadn't forked.
+    if (fromOldTerm || lastPromotion_->server.empty()
+        || lastPromotion_->server == link.registration.id)
         return fromOldTerm && isAhead;
     if (!isAhead || link.received.term > lastPromotion_->position.term)
         return false;
@@ -98,12 +100,18 @@
         candidate.demotedAt = link.demotedAt;
         candidate.demotionWantedAt = link.demotionWantedAt;
         candidate.demotionRefused = link.demotionRefused;
+        candidate.ledNewestTerm = ledNewestTerm(link);
         candidate.supersededByOrder = link.primary && supersededByOrder(link);
         view.push_back(candidate);
     }
     return view;
 }
 
+bool GroupScheduler::ledNewestTerm(const ServerLink &link) const
+{
+    return !link.primary && link.ledTerm > 0 && link.ledTerm >= newestTerm();
+}
+
 void GroupScheduler::reportSuspicion(bool suspected, TimePoint now)
 {
     const auto number = primary();
@@ -167,7 +175,7 @@
     choiceMadeAt_ = now;
     ++counters_.promotionsOrdered;
     port_.orderPromotion(
-        {settings_.service, step.server, step.position, step.reason, newestTerm()});
+        {settings_.service, step.server, step.position, step.reason, newestTerm(), step.floor});
 }
 
 Duration GroupScheduler::primaryMissingFor(TimePoint now) const
@@ -175,6 +183,12 @@
     return primaryMissingSince_ == TimePoint::max() ? Duration::zero() : now - primaryMissingSince_;
 }
 
+Duration GroupScheduler::confirmationDelay(TimePoint now) const
+{
+    const bool recent = now - choiceMadeAt_ <= settings_.failover.maxReportAge;
+    return recent || confirmReplicas_ == 0 ? Duration::zero() : settings_.failover.joinNoticeTime;
+}
+
 bool GroupScheduler::confirmsPromotion(std::string_view server, TimePoint now) const
 {
     if (now - choiceMadeAt_ <= settings_.failover.maxReportAge)
@@ -189,7 +203,8 @@
 void GroupScheduler::recordDeparture(ServerLink &link, TimePoint now)
 {
     const bool present = link.registered || link.openConnections() > 0;
-    if (confirmReplicas_ == 0 || present || link.departedAt || link.lastPrimary)
+    if (confirmReplicas_ == 0 || present || link.departedAt || link.lastPrimary
+        || ledNewestTerm(link))
         return;
     link.departedAt = now;
     DepartedReplica replica{link.registration.id, now, std::nullopt, link.received};
@@ -266,9 +281,10 @@
     else if (lastPromotion_->revision >= record.revision
              || !mergePromotion(record, *lastPromotion_))
         return;
-    // Records of withdrawn orders by older versions have no position.
-    if (record.position != Position{})
-        planner_.setLogFloor(record.position);
+    // Records of withdrawn orders by older versions have none.
+    if (record.floor != Position{})
+        floor_.setPromoted(record.floor);
+    planner_.setLogFloor(floor_.position());
     if (record.server.empty()) {
         planner_.orderWithdrawn(now);
         return;
--- a/src/core/groupscheduler_replies.cpp
+++ b/src/core/groupscheduler_replies.cpp
@@ -50,7 +50,7 @@
         handleBegin(key, reply, now);
         break;
     case ExpectedReply::Statement:
-        handleStatement(key, std::move(reply), expected.sentAt, now);
+        handleStatement(key, std::move(reply), expected, now);
         break;
     case ExpectedReply::ProxyRollback:
         if (reply.error || reply.state != TransactionState::None)
@@ -127,6 +127,10 @@
     link.pausedUntilTerm = reply.report->pausedUntilTerm;
     link.stoppedAt = link.received;
     link.stoppedUntilTerm = link.pausedUntilTerm;
+    if (reply.report->primary)
+        link.ledTerm = std::max(link.ledTerm, reply.report->term);
+    else if (!link.demoted)
+        link.replicaTerm = std::max(link.replicaTerm, reply.report->term);
     link.lastPrimary = link.lastPrimary && (reply.report->primary || link.demoted);
     if (reply.report->primary || link.demoted)
         departed_.primaryReported(link.received, sentAt);
@@ -150,6 +154,8 @@
         link.demotedAt = now;
     link.demoted = (link.primary || link.demoted) && !reply.report->primary;
     link.demotionRefused = reply.report->primary;
+    if (link.demoted)
+        link.ledTerm = std::max(link.ledTerm, reply.report->term);
     port_.primaryDemoted(link.registration.id, link.demoted, reply.report->received);
     handleReport(link, reply, sentAt, now);
 }
@@ -166,8 +172,8 @@
     sendOnIdleConnection(number, {&command, 1}, {&kind, 1}, now);
 }
 
-void GroupScheduler::handleStatement(ServerConnectionKey key, ServerReply reply, TimePoint sentAt,
-                                     TimePoint now)
+void GroupScheduler::handleStatement(ServerConnectionKey key, ServerReply reply,
+                                     const ServerConnection::Outstanding &sent, TimePoint now)
 {
     auto &connection = *find(key);
     const auto found = connection.request ? requests_.find(*connection.request) : requests_.end();
@@ -185,7 +191,8 @@
         return;
     }
     connection.request.reset();
-    found->second.sentAt = sentAt;
+    found->second.sentAt = sent.sentAt;
+    found->second.logEndBefore = sent.logEnd;
     handleSuccess(key, found->second, std::move(reply), now);
 }
 
@@ -225,6 +232,8 @@
     // A commit that was acknowledged before a demotion may be answered after it.
     if (fromPrimary && reply.position && !link.demoted) {
         setPrimary(key.server, reply.position->term, now);
+        if (answer.committed)
+            recordAcknowledged(link, pending, *reply.position);
         recordWatermark(*reply.position, pending.sentAt);
     }
     const bool ended = request.scope == RequestScope::Single || commit;
--- a/src/core/groupscheduler_servers.cpp
+++ b/src/core/groupscheduler_servers.cpp
@@ -51,10 +51,32 @@
 void GroupScheduler::recordWatermark(Position position, TimePoint sentAt)
 {
     watermarks_.record(position, sentAt);
-    if (!sharing_.takeForSharing(sentAt))
+    // That a term has acknowledged commits must be known to a proxy that replaces its primary.
+    const auto acknowledged = floor_.acknowledged();
+    const bool newTerm = acknowledged.term > sharedTerm_;
+    if (!sharing_.takeForSharing(sentAt) && !newTerm)
         return;
+    sharedTerm_ = std::max(sharedTerm_, acknowledged.term);
     ++counters_.watermarksShared;
-    port_.shareWatermark(position, sentAt);
+    port_.shareWatermark(position, sentAt, acknowledged);
+}
+
+/// Records what the acknowledgment of a commit by \a link shows, whose log ended at \a logEnd then.
+void GroupScheduler::recordAcknowledged(const ServerLink &link, const Pending &pending,
+                                        Position logEnd)
+{
+    if (confirmReplicas_ == 0)
+        return;
+    floor_.commitAcknowledged(pending.logEndBefore, link.replicaTerm + 1, logEnd);
+    planner_.setLogFloor(floor_.position());
+}
+
+void GroupScheduler::acknowledgedHeard(Position position)
+{
+    if (confirmReplicas_ == 0)
+        return;
+    floor_.heard(position);
+    planner_.setLogFloor(floor_.position());
 }
 
 bool GroupScheduler::monitored(const ServerLink &link, TimePoint now) const
@@ -93,6 +115,8 @@
         return;
     confirmReplicas_ = count;
     planner_.setConfirmReplicas(count);
+    floor_.forgetAcknowledged();
+    planner_.setLogFloor(floor_.position());
     departed_ = {};
     historyUnknown_ = count > 0;
 }
--- a/src/core/promotionplanner.cpp
+++ b/src/core/promotionplanner.cpp
@@ -7,13 +7,14 @@
 
 namespace {
 
-/// Stands in FailoverStep::blockedBy for the servers that hold the log of the last promotion.
-constexpr std::string_view lastPromotionHolder = "last_promotion";
+/// Stands in FailoverStep::blockedBy for the servers whose logs reach the log floor.
+constexpr std::string_view floorHolder = "acknowledged_log";
 
 /// Whether \a server is a replica that may confirm commits.
 bool mayConfirm(const FailoverCandidate &server)
 {
-    return !server.primary && !server.demoted && (server.registered || server.runsWithoutEntry);
+    return !server.primary && !server.demoted && !server.ledNewestTerm
+           && (server.registered || server.runsWithoutEntry);
 }
 
 /// Whether enough replicas satisfy \a condition that one of them holds every commit that at least
@@ -104,7 +105,7 @@
 PromotionPlanner::demotedPrimary(std::span<const FailoverCandidate> servers, TimePoint now) const
 {
     const auto found = std::find_if(servers.begin(), servers.end(), [&](const auto &server) {
-        return server.demoted && server.registered
+        return (server.demoted || server.ledNewestTerm) && !server.primary && server.registered
                && hasRecentReport(server, settings_.maxReportAge, now);
     });
     return found == servers.end() ? nullptr : &*found;
@@ -167,7 +168,7 @@
     }
     addHoldersBeyond(departed, longest, holders);
     if (longest < logFloor_)
-        holders.emplace_back(lastPromotionHolder);
+        holders.emplace_back(floorHolder);
     return holders;
 }
 
@@ -185,12 +186,12 @@
            || now - *primary->demotionWantedAt < settings_.demotionTimeout;
 }
 
-/// Whether enough replicas may hold a commit that it can have been acknowledged, or all servers to
-/// promote end before the last promotion.
+/// Whether enough replicas may hold a commit for it to have been acknowledged, or the logs of all
+/// servers to promote end before the log floor.
 bool PromotionPlanner::preventChoice(std::span<const std::string> holders) const
 {
     return holders.size() >= confirmReplicas_
-           || std::find(holders.begin(), holders.end(), lastPromotionHolder) != holders.end();
+           || std::find(holders.begin(), holders.end(), floorHolder) != holders.end();
 }
 
 bool PromotionPlanner::hasRecentReport(const FailoverCandidate &server, Duration maxReportAge,
@@ -217,6 +218,7 @@
         // Where replicas confirm commits, a leaving one may be chosen: holding every acknowledged
         // commit matters more than staying.
         const bool usable = !server.primary && !server.demoted && server.registered
+                            && (confirmReplicas_ == 0 || !server.ledNewestTerm)
                             && !server.mayHaveForked
                             && (confirmReplicas_ > 0 ? server.paused : !server.leaving)
                             && hasRecentReport(server, maxReportAge, now);
@@ -296,10 +298,12 @@
         return step;
     if (awaitsJoins(servers, best->received, now))
         return step;
+    // No replica holds an acknowledged commit beyond the longest of the paused ones.
+    step.floor = std::max(best->received, logFloor_);
     if (confirmReplicas_ > 0) {
         step.blockedBy = holdersBeyond(servers, departed, *best, now);
         if (best->received < logFloor_)
-            step.blockedBy.emplace_back(lastPromotionHolder);
+            step.blockedBy.emplace_back(floorHolder);
         if (!preventChoice(step.blockedBy)) {
             step.blockedBy.clear();
         } else if (const auto *former = demotedPrimary(servers, now)) {
--- a/src/core/promotionplanner.h
+++ b/src/core/promotionplanner.h
@@ -64,6 +64,9 @@
     TimePoint demotedAt;                       ///< When the demotion became known.
     std::optional<TimePoint> demotionWantedAt; ///< Since when a demotion has been wanted.
     bool demotionRefused = false;              ///< It answered a demotion, but is still primary.
+    /// It was the primary of the newest term and isn't any more. It has confirmed no commit of that
+    /// term, and holds all of them.
+    bool ledNewestTerm = false;
     /// An order that another server take its place was recorded, and may still be carried out.
     bool supersededByOrder = false;
 };
@@ -78,9 +81,10 @@
     bool demotePrimary = false;   ///< The primary must be demoted before a replica is promoted.
     std::string server;           ///< The server to promote; empty if none.
     Position position;            ///< Last position in the log of \c server.
+    Position floor;               ///< Log floor that holds once \c server is chosen, see LogFloor.
     std::string reason;           ///< Why the primary must be replaced; empty if it needn't be.
     /// What prevents the choice: ids of replicas that may hold acknowledged commits which no server
-    /// to promote holds, or "last_promotion" if all of these end before the last promotion.
+    /// to promote holds, or "acknowledged_log" if the logs of these end before the log floor.
     std::vector<std::string> blockedBy;
 };
 
@@ -97,9 +101,9 @@
 /// promotion by themselves. A replica that joins later isn't paused when it confirms its first
 /// commits, so a primary that still answers is demoted before the order. A replica that has left
 /// may have confirmed what no other holds; nothing is promoted until a server to promote is known
-/// to hold it too, or the replica or the primary is back. A server whose log ends before that of
-/// the server promoted last lacks commits that were acknowledged before, or may lack them, so it is
-/// never promoted, however long the others are away. Not thread-safe.
+/// to hold it too, or the replica or the primary is back. A server whose log ends before the
+/// log floor lacks acknowledged commits, or may lack them, so it is never promoted, however long
+/// the others are away. Not thread-safe.
 class PromotionPlanner
 {
 public:
@@ -123,8 +127,8 @@
     /// commits don't wait for replicas.
     void setConfirmReplicas(std::uint32_t count) { confirmReplicas_ = count; }
 
-    /// Sets where the log of the server that was promoted last ended at its promotion. All commits
-    /// acknowledged before are within it; matters only where commits wait for replicas.
+    /// Sets the position that a server's log must reach, see LogFloor; matters only where commits
+    /// wait for replicas.
     void setLogFloor(Position position) { logFloor_ = position; }
 
     /// Records that this proxy has ordered a promotion.
--- a/src/core/promotionrecord.h
+++ b/src/core/promotionrecord.h
@@ -26,6 +26,9 @@
     /// Counts the records of the service, so that it is known which of two is newer after the store
     /// has gone back. 0 in the records of versions that don't count them.
     std::uint64_t number = 0;
+    /// Log floor since the server was chosen, see LogFloor. Less than \c position where the server
+    /// is the former primary, whose last commits nobody had confirmed.
+    Position floor = {};
 
     bool operator==(const PromotionRecord &) const = default;
 };
--- a/src/core/serverlink.h
+++ b/src/core/serverlink.h
@@ -37,6 +37,7 @@
     {
         ExpectedReply kind = ExpectedReply::Opening;
         TimePoint sentAt;
+        Position logEnd = {}; ///< Of the primary, as known when the command was sent.
     };
 
     bool open = false;
@@ -82,6 +83,8 @@
     Position stoppedAt;
     Term stoppedUntilTerm = 0;
     bool lastPrimary = false; ///< It is or was the primary, and hasn't been a replica since.
+    Term replicaTerm = 0;     ///< Newest term in which it reported itself as a replica.
+    Term ledTerm = 0; ///< Newest term in which it reported itself as the primary.
     /// Whether it reported itself as a replica after a demotion, and no successor is known.
     bool demoted = false;
     TimePoint demotedAt = TimePoint{};
--- a/src/core/watermarks.h
+++ b/src/core/watermarks.h
@@ -30,6 +30,8 @@
     /// When the command was sent whose answer gave the newest position; the epoch of the clock if
     /// there is none.
     TimePoint newestAt() const;
+    /// The newest position; Position() if there is none.
+    Position newest() const { return marks_.empty() ? Position() : marks_.back().position; }
     /// Term of the recorded positions; 0 if there are none.
     Term term() const { return marks_.empty() ? 0 : marks_.back().position.term; }
 
--- a/src/gateway/groupactor.cpp
+++ b/src/gateway/groupactor.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 using TimerExpired = caf::atom_constant<caf::atom("tick")>;
+using ReviewChoice = caf::atom_constant<caf::atom("review")>;
 using OpenFailed = caf::atom_constant<caf::atom("openfailed")>;
 
 constexpr std::size_t maxReadBytes = 65536;
@@ -70,12 +71,13 @@
             updateTimerAndReportChanges();
         },
         [this](const ConfirmPromotion &message) {
-            const auto &choice = message.choice;
-            const bool confirmed =
-                scheduler_->confirmsPromotion(choice.server, context_.clock->now());
-            self_->send(context_.promotions,
-                        PromotionConfirmed{choice.service, message.token, confirmed});
+            const auto wait = scheduler_->confirmationDelay(context_.clock->now());
+            if (wait > Duration::zero())
+                self_->delayed_send(self_, wait, ReviewChoice::value, message);
+            else
+                confirmPromotion(message);
         },
+        [this](ReviewChoice, const ConfirmPromotion &message) { confirmPromotion(message); },
         [this](const SuspicionsChanged &message) {
             scheduler_->setWitness(message.role.witness, message.role.rank);
             scheduler_->setSuspicions(message.servers, message.role.witnesses,
@@ -84,8 +86,10 @@
         },
         [this](const WatermarksHeard &message) {
             const auto now = context_.clock->now();
-            for (const auto &watermark : message.watermarks)
+            for (const auto &watermark : message.watermarks) {
+                scheduler_->acknowledgedHeard(watermark.acknowledged);
                 scheduler_->watermarkHeard(watermark.position, watermark.sentAt, now);
+            }
             updateTimerAndReportChanges();
         },
         [this](const PromotionFailed &message) {
@@ -98,6 +102,13 @@
     };
 }
 
+void GroupActor::confirmPromotion(const ConfirmPromotion &message)
+{
+    const auto &choice = message.choice;
+    const bool confirmed = scheduler_->confirmsPromotion(choice.server, context_.clock->now());
+    self_->send(context_.promotions, PromotionConfirmed{choice.service, message.token, confirmed});
+}
+
 void GroupActor::configure(const GroupConfigured &message)
 {
     const auto now = context_.clock->now();
@@ -295,10 +306,10 @@
                  milliseconds(retryDelay));
 }
 
-void GroupActor::shareWatermark(Position position, TimePoint sentAt)
+void GroupActor::shareWatermark(Position position, TimePoint sentAt, Position acknowledged)
 {
     self_->send(context_.exchange,
-                WatermarkObserved{{context_.scheduler.service, position, sentAt}});
+                WatermarkObserved{{context_.scheduler.service, position, sentAt, acknowledged}});
 }
 
 void GroupActor::reportSuspicion(std::string_view server, bool suspected)
--- a/src/gateway/groupactor.h
+++ b/src/gateway/groupactor.h
@@ -50,6 +50,7 @@
     };
 
     caf::behavior start(GroupContext context);
+    void confirmPromotion(const ConfirmPromotion &message);
     void configure(const GroupConfigured &message);
     void handleData(const caf::io::new_data_msg &message);
     void handleClosed(const caf::io::connection_closed_msg &message);
@@ -69,7 +70,7 @@
     void requestRetried(const GroupRequest &request, std::string_view server,
                         std::optional<AnswerCode> code) override;
     void connectionRefused(std::string_view server, AnswerCode code, Duration retryDelay) override;
-    void shareWatermark(Position position, TimePoint sentAt) override;
+    void shareWatermark(Position position, TimePoint sentAt, Position acknowledged) override;
     void reportSuspicion(std::string_view server, bool suspected) override;
     void primaryDemoted(std::string_view server, bool demoted, Position position) override;
     void orderPromotion(const PromotionChoice &choice) override;
--- a/src/gateway/promotionactor.cpp
+++ b/src/gateway/promotionactor.cpp
@@ -52,15 +52,27 @@
     writeRecord(service);
 }
 
+PromotionRecord PromotionActor::recordOf(const Order &order) const
+{
+    const auto &choice = order.choice;
+    PromotionRecord record;
+    record.service = choice.service;
+    record.server = choice.server;
+    record.holder = context_.vm;
+    record.nonce = order.nonce;
+    record.position = choice.position;
+    record.floor = choice.floor;
+    record.endedTerm = choice.endedTerm;
+    record.number = order.number;
+    return record;
+}
+
 void PromotionActor::writeRecord(const std::string &service)
 {
     const auto &order = orders_.at(service);
-    const PromotionRecord record{
-        service, order.choice.server,    context_.vm, order.nonce, order.choice.position,
-        {},      order.choice.endedTerm, order.number};
     const auto key = std::string(promotionsPrefix) + service;
     call(context_.storeCaller,
-         context_.protocols.store->write(key, encodePromotion(record), 0, order.replaced),
+         context_.protocols.store->write(key, encodePromotion(recordOf(order)), 0, order.replaced),
          context_.storeTimeout, [this, service](const HttpResponse &response) {
              if (response.status == 0) {
                  verifyRecord(service);
@@ -185,15 +197,9 @@
 void PromotionActor::withdraw(const Order &order)
 {
     const auto &service = order.choice.service;
-    // The server that was chosen may hold commits up to its position that others lack.
-    const PromotionRecord record{service,
-                                 {},
-                                 context_.vm,
-                                 order.nonce,
-                                 order.choice.position,
-                                 {},
-                                 order.choice.endedTerm,
-                                 order.number + 1};
+    auto record = recordOf(order);
+    record.server.clear();
+    ++record.number;
     call(context_.storeCaller,
          context_.protocols.store->write(std::string(promotionsPrefix) + service,
                                          encodePromotion(record), 0, order.revision),
--- a/src/gateway/promotionactor.h
+++ b/src/gateway/promotionactor.h
@@ -65,6 +65,7 @@
 
     caf::behavior start(PromotionContext context);
     void startOrder(const OrderPromotion &message);
+    PromotionRecord recordOf(const Order &order) const;
     void writeRecord(const std::string &service);
     void verifyRecord(const std::string &service);
     void reportRecord(const PromotionRecord &record);
--- a/src/gateway/registryrecords.cpp
+++ b/src/gateway/registryrecords.cpp
@@ -68,7 +68,9 @@
                                                       {"term", record.position.term},
                                                       {"position", record.position.lsn},
                                                       {"endedTerm", record.endedTerm},
-                                                      {"number", record.number}});
+                                                      {"number", record.number},
+                                                      {"floorTerm", record.floor.term},
+                                                      {"floorPosition", record.floor.lsn}});
 }
 
 Result<PromotionRecord> decodePromotion(std::string_view value, StoreRevision revision)
@@ -91,6 +93,10 @@
     // A proxy of the version before doesn't write the term that its promotion ends.
     record.endedTerm = record.position.term;
     reader.integer("endedTerm", record.endedTerm, 0, std::numeric_limits<Term>::max());
+    // Nor does it write a floor, which the position bounds.
+    record.floor = record.position;
+    reader.integer("floorTerm", record.floor.term, 0, std::numeric_limits<Term>::max());
+    reader.integer("floorPosition", record.floor.lsn, 0, std::numeric_limits<std::int64_t>::max());
     reader.integer("number", record.number, 0, std::numeric_limits<std::int64_t>::max());
     if (!problems.empty()) {
         return boost::leaf::new_error(
--- a/src/wire/exchange.thrift
+++ b/src/wire/exchange.thrift
@@ -17,4 +17,7 @@
   9: list<i64> positions
   10: list<i64> sentAt
   11: bool relayed
+  // Empty if no watermark tells of an acknowledged commit.
+  12: list<i32> acknowledgedTerms
+  13: list<i64> acknowledgedPositions
 }
--- a/src/wire/exchangecodec.cpp
+++ b/src/wire/exchangecodec.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/leaf/error.hpp>
 
+#include <algorithm>
+
 namespace shallotwalk {
 
 namespace {
@@ -51,6 +53,14 @@
     const auto count = wire.services.size();
     if (wire.terms.size() != count || wire.positions.size() != count || wire.sentAt.size() != count)
         return "lists of different lengths";
+    const auto acknowledged = wire.acknowledgedTerms.size();
+    if (wire.acknowledgedPositions.size() != acknowledged
+        || (acknowledged != 0 && acknowledged != count))
+        return "lists of different lengths";
+    for (std::size_t i = 0; i < acknowledged; ++i) {
+        if (wire.acknowledgedTerms[i] < 0 || wire.acknowledgedPositions[i] < 0)
+            return "a position out of range";
+    }
     for (std::size_t i = 0; i < count; ++i) {
         if (wire.services[i].empty() || wire.services[i].size() > maxNameBytes)
             return "no name of a group";
@@ -80,6 +90,16 @@
         wire.positions.push_back(static_cast<std::int64_t>(watermark.position.lsn));
         wire.sentAt.push_back(toWire(watermark.sentAt));
     }
+    const auto tellsAcknowledged = [](const SharedWatermark &watermark) {
+        return watermark.acknowledged != Position();
+    };
+    if (std::any_of(message.watermarks.begin(), message.watermarks.end(), tellsAcknowledged)) {
+        for (const auto &watermark : message.watermarks) {
+            const auto &[term, lsn] = watermark.acknowledged;
+            wire.acknowledgedTerms.push_back(static_cast<std::int32_t>(term));
+            wire.acknowledgedPositions.push_back(static_cast<std::int64_t>(lsn));
+        }
+    }
     wire.relayed = message.relayed;
     try {
         auto bytes = toThriftPayload(wire);
@@ -117,6 +137,11 @@
             {std::move(wire.services[i]),
              {static_cast<Term>(wire.terms[i]), static_cast<LogPosition>(wire.positions[i])},
              toTime(wire.sentAt[i])});
+        if (!wire.acknowledgedTerms.empty()) {
+            message.watermarks.back().acknowledged = {
+                static_cast<Term>(wire.acknowledgedTerms[i]),
+                static_cast<LogPosition>(wire.acknowledgedPositions[i])};
+        }
     }
     return message;
 }
--- a/src/wire/gen-cpp/exchange_types.cpp
+++ b/src/wire/gen-cpp/exchange_types.cpp
@@ -65,6 +65,14 @@
   this->relayed = val;
 }
 
+void ExchangeMessage::__set_acknowledgedTerms(const std::vector<int32_t> & val) {
+  this->acknowledgedTerms = val;
+}
+
+void ExchangeMessage::__set_acknowledgedPositions(const std::vector<int64_t> & val) {
+  this->acknowledgedPositions = val;
+}
+
 uint32_t ExchangeMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -222,6 +230,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->acknowledgedTerms.clear();
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->acknowledgedTerms.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
+            {
+              xfer += iprot->readI32(this->acknowledgedTerms[_i24]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.acknowledgedTerms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->acknowledgedPositions.clear();
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->acknowledgedPositions.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
+            {
+              xfer += iprot->readI64(this->acknowledgedPositions[_i29]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.acknowledgedPositions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -269,10 +317,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
-    std::vector<std::string> ::const_iterator _iter20;
-    for (_iter20 = this->services.begin(); _iter20 != this->services.end(); ++_iter20)
+    std::vector<std::string> ::const_iterator _iter30;
+    for (_iter30 = this->services.begin(); _iter30 != this->services.end(); ++_iter30)
     {
-      xfer += oprot->writeString((*_iter20));
+      xfer += oprot->writeString((*_iter30));
     }
     xfer += oprot->writeListEnd();
   }
@@ -281,10 +329,10 @@
   xfer += oprot->writeFieldBegin("terms", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->terms.size()));
-    std::vector<int32_t> ::const_iterator _iter21;
-    for (_iter21 = this->terms.begin(); _iter21 != this->terms.end(); ++_iter21)
+    std::vector<int32_t> ::const_iterator _iter31;
+    for (_iter31 = this->terms.begin(); _iter31 != this->terms.end(); ++_iter31)
     {
-      xfer += oprot->writeI32((*_iter21));
+      xfer += oprot->writeI32((*_iter31));
     }
     xfer += oprot->writeListEnd();
   }
@@ -293,10 +341,10 @@
   xfer += oprot->writeFieldBegin("positions", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->positions.size()));
-    std::vector<int64_t> ::const_iterator _iter22;
-    for (_iter22 = this->positions.begin(); _iter22 != this->positions.end(); ++_iter22)
+    std::vector<int64_t> ::const_iterator _iter32;
+    for (_iter32 = this->positions.begin(); _iter32 != this->positions.end(); ++_iter32)
     {
-      xfer += oprot->writeI64((*_iter22));
+      xfer += oprot->writeI64((*_iter32));
     }
     xfer += oprot->writeListEnd();
   }
@@ -305,10 +353,10 @@
   xfer += oprot->writeFieldBegin("sentAt", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->sentAt.size()));
-    std::vector<int64_t> ::const_iterator _iter23;
-    for (_iter23 = this->sentAt.begin(); _iter23 != this->sentAt.end(); ++_iter23)
+    std::vector<int64_t> ::const_iterator _iter33;
+    for (_iter33 = this->sentAt.begin(); _iter33 != this->sentAt.end(); ++_iter33)
     {
-      xfer += oprot->writeI64((*_iter23));
+      xfer += oprot->writeI64((*_iter33));
     }
     xfer += oprot->writeListEnd();
   }
@@ -318,6 +366,30 @@
   xfer += oprot->writeBool(this->relayed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("acknowledgedTerms", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->acknowledgedTerms.size()));
+    std::vector<int32_t> ::const_iterator _iter34;
+    for (_iter34 = this->acknowledgedTerms.begin(); _iter34 != this->acknowledgedTerms.end(); ++_iter34)
+    {
+      xfer += oprot->writeI32((*_iter34));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acknowledgedPositions", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->acknowledgedPositions.size()));
+    std::vector<int64_t> ::const_iterator _iter35;
+    for (_iter35 = this->acknowledgedPositions.begin(); _iter35 != this->acknowledgedPositions.end(); ++_iter35)
+    {
+      xfer += oprot->writeI64((*_iter35));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -336,65 +408,75 @@
   swap(a.positions, b.positions);
   swap(a.sentAt, b.sentAt);
   swap(a.relayed, b.relayed);
+  swap(a.acknowledgedTerms, b.acknowledgedTerms);
+  swap(a.acknowledgedPositions, b.acknowledgedPositions);
   swap(a.__isset, b.__isset);
 }
 
-ExchangeMessage::ExchangeMessage(const ExchangeMessage& other24) {
-  version = other24.version;
-  sender = other24.sender;
-  incarnation = other24.incarnation;
-  probe = other24.probe;
-  echoedProbe = other24.echoedProbe;
-  echoReceivedAt = other24.echoReceivedAt;
-  services = other24.services;
-  terms = other24.terms;
-  positions = other24.positions;
-  sentAt = other24.sentAt;
-  relayed = other24.relayed;
-  __isset = other24.__isset;
+ExchangeMessage::ExchangeMessage(const ExchangeMessage& other36) {
+  version = other36.version;
+  sender = other36.sender;
+  incarnation = other36.incarnation;
+  probe = other36.probe;
+  echoedProbe = other36.echoedProbe;
+  echoReceivedAt = other36.echoReceivedAt;
+  services = other36.services;
+  terms = other36.terms;
+  positions = other36.positions;
+  sentAt = other36.sentAt;
+  relayed = other36.relayed;
+  acknowledgedTerms = other36.acknowledgedTerms;
+  acknowledgedPositions = other36.acknowledgedPositions;
+  __isset = other36.__isset;
 }
-ExchangeMessage::ExchangeMessage(ExchangeMessage&& other25) noexcept {
-  version = other25.version;
-  sender = std::move(other25.sender);
-  incarnation = other25.incarnation;
-  probe = other25.probe;
-  echoedProbe = other25.echoedProbe;
-  echoReceivedAt = other25.echoReceivedAt;
-  services = std::move(other25.services);
-  terms = std::move(other25.terms);
-  positions = std::move(other25.positions);
-  sentAt = std::move(other25.sentAt);
-  relayed = other25.relayed;
-  __isset = other25.__isset;
+ExchangeMessage::ExchangeMessage(ExchangeMessage&& other37) noexcept {
+  version = other37.version;
+  sender = std::move(other37.sender);
+  incarnation = other37.incarnation;
+  probe = other37.probe;
+  echoedProbe = other37.echoedProbe;
+  echoReceivedAt = other37.echoReceivedAt;
+  services = std::move(other37.services);
+  terms = std::move(other37.terms);
+  positions = std::move(other37.positions);
+  sentAt = std::move(other37.sentAt);
+  relayed = other37.relayed;
+  acknowledgedTerms = std::move(other37.acknowledgedTerms);
+  acknowledgedPositions = std::move(other37.acknowledgedPositions);
+  __isset = other37.__isset;
 }
-ExchangeMessage& ExchangeMessage::operator=(const ExchangeMessage& other26) {
-  version = other26.version;
-  sender = other26.sender;
-  incarnation = other26.incarnation;
-  probe = other26.probe;
-  echoedProbe = other26.echoedProbe;
-  echoReceivedAt = other26.echoReceivedAt;
-  services = other26.services;
-  terms = other26.terms;
-  positions = other26.positions;
-  sentAt = other26.sentAt;
-  relayed = other26.relayed;
-  __isset = other26.__isset;
+ExchangeMessage& ExchangeMessage::operator=(const ExchangeMessage& other38) {
+  version = other38.version;
+  sender = other38.sender;
+  incarnation = other38.incarnation;
+  probe = other38.probe;
+  echoedProbe = other38.echoedProbe;
+  echoReceivedAt = other38.echoReceivedAt;
+  services = other38.services;
+  terms = other38.terms;
+  positions = other38.positions;
+  sentAt = other38.sentAt;
+  relayed = other38.relayed;
+  acknowledgedTerms = other38.acknowledgedTerms;
+  acknowledgedPositions = other38.acknowledgedPositions;
+  __isset = other38.__isset;
   return *this;
 }
-ExchangeMessage& ExchangeMessage::operator=(ExchangeMessage&& other27) noexcept {
-  version = other27.version;
-  sender = std::move(other27.sender);
-  incarnation = other27.incarnation;
-  probe = other27.probe;
-  echoedProbe = other27.echoedProbe;
-  echoReceivedAt = other27.echoReceivedAt;
-  services = std::move(other27.services);
-  terms = std::move(other27.terms);
-  positions = std::move(other27.positions);
-  sentAt = std::move(other27.sentAt);
-  relayed = other27.relayed;
-  __isset = other27.__isset;
+ExchangeMessage& ExchangeMessage::operator=(ExchangeMessage&& other39) noexcept {
+  version = other39.version;
+  sender = std::move(other39.sender);
+  incarnation = other39.incarnation;
+  probe = other39.probe;
+  echoedProbe = other39.echoedProbe;
+  echoReceivedAt = other39.echoReceivedAt;
+  services = std::move(other39.services);
+  terms = std::move(other39.terms);
+  positions = std::move(other39.positions);
+  sentAt = std::move(other39.sentAt);
+  relayed = other39.relayed;
+  acknowledgedTerms = std::move(other39.acknowledgedTerms);
+  acknowledgedPositions = std::move(other39.acknowledgedPositions);
+  __isset = other39.__isset;
   return *this;
 }
 }} // namespace
--- a/src/wire/gen-cpp/exchange_types.h
+++ b/src/wire/gen-cpp/exchange_types.h
@@ -24,7 +24,7 @@
 class ExchangeMessage;
 
 typedef struct _ExchangeMessage__isset {
-  _ExchangeMessage__isset() : version(false), sender(false), incarnation(false), probe(false), echoedProbe(false), echoReceivedAt(false), services(false), terms(false), positions(false), sentAt(false), relayed(false) {}
+  _ExchangeMessage__isset() : version(false), sender(false), incarnation(false), probe(false), echoedProbe(false), echoReceivedAt(false), services(false), terms(false), positions(false), sentAt(false), relayed(false), acknowledgedTerms(false), acknowledgedPositions(false) {}
   bool version :1;
   bool sender :1;
   bool incarnation :1;
@@ -36,6 +36,8 @@
   bool positions :1;
   bool sentAt :1;
   bool relayed :1;
+  bool acknowledgedTerms :1;
+  bool acknowledgedPositions :1;
 } _ExchangeMessage__isset;
 
 class ExchangeMessage : public virtual ::apache::thrift::TBase {
@@ -67,6 +69,8 @@
   std::vector<int64_t>  positions;
   std::vector<int64_t>  sentAt;
   bool relayed;
+  std::vector<int32_t>  acknowledgedTerms;
+  std::vector<int64_t>  acknowledgedPositions;
 
   _ExchangeMessage__isset __isset;
 
@@ -92,6 +96,10 @@
 
   void __set_relayed(const bool val);
 
+  void __set_acknowledgedTerms(const std::vector<int32_t> & val);
+
+  void __set_acknowledgedPositions(const std::vector<int64_t> & val);
+
   bool operator == (const ExchangeMessage & rhs) const
   {
     if (!(version == rhs.version))
@@ -122,6 +130,10 @@
       return false;
     if (!(relayed == rhs.relayed))
       return false;
+    if (!(acknowledgedTerms == rhs.acknowledgedTerms))
+      return false;
+    if (!(acknowledgedPositions == rhs.acknowledgedPositions))
+      return false;
     return true;
   }
   bool operator != (const ExchangeMessage &rhs) const {
--- a/tests/adapter/test_documents.cpp
+++ b/tests/adapter/test_documents.cpp
@@ -296,17 +296,21 @@
 BOOST_AUTO_TEST_CASE(encoded_promotion_record_decodes_to_the_same_record)
 {
     const auto record = expect<PromotionRecord>([] {
-        return decodePromotion(encodePromotion({"bookings", "i-1", "front-1", "n", {2, 130}, 0, 3}),
-                               42);
+        return decodePromotion(
+            encodePromotion({"bookings", "i-1", "front-1", "n", {2, 130}, 0, 3, 7, {2, 128}}), 42);
     });
-    BOOST_TEST((record == PromotionRecord{"bookings", "i-1", "front-1", "n", {2, 130}, 42, 3}));
-    // The version before wrote no ended term.
+    BOOST_TEST(
+        (record
+         == PromotionRecord{"bookings", "i-1", "front-1", "n", {2, 130}, 42, 3, 7, {2, 128}}));
+    // Versions before wrote no ended term, no number and no floor.
     const auto old = expect<PromotionRecord>([] {
         return decodePromotion(R"({"service": "bookings", "server": "i-1", "holder": "front-1",
                                    "nonce": "n", "term": 2, "position": 130})",
                                42);
     });
     BOOST_TEST(old.endedTerm == 2U);
+    BOOST_TEST(old.number == 0U);
+    BOOST_TEST((old.floor == Position{2, 130}));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/sessions/fakeport.h
+++ b/tests/sessions/fakeport.h
@@ -56,7 +56,10 @@
     {
         refusals.push_back({std::string(server), code, retryDelay});
     }
-    void shareWatermark(Position position, TimePoint) override { shared.push_back(position); }
+    void shareWatermark(Position position, TimePoint, Position) override
+    {
+        shared.push_back(position);
+    }
     void reportSuspicion(std::string_view server, bool suspected) override
     {
         suspicions.emplace_back(server, suspected);
--- a/tests/sessions/fleetmodel.cpp
+++ b/tests/sessions/fleetmodel.cpp
@@ -126,7 +126,7 @@
     {
     }
     void connectionRefused(std::string_view, AnswerCode, Duration) override {}
-    void shareWatermark(Position position, TimePoint sentAt) override
+    void shareWatermark(Position position, TimePoint sentAt, Position) override
     {
         model_.share(index_, position, sentAt);
     }
--- a/tests/sessions/replicationmodel.cpp
+++ b/tests/sessions/replicationmodel.cpp
@@ -16,6 +16,7 @@
 constexpr Duration writePause = 50ms;
 constexpr Duration readPause = 900ms;
 constexpr unsigned readsPerTransaction = 12;
+constexpr Duration exchangeDelay = 50ms;
 constexpr Duration storeCallTime = 5ms;
 /// Time until the entry of a crashed server is removed.
 constexpr Duration entryLifetime = 3600ms;
@@ -147,7 +148,11 @@
     {
     }
     void connectionRefused(std::string_view, AnswerCode, Duration) override {}
-    void shareWatermark(Position, TimePoint) override {}
+    void shareWatermark(Position, TimePoint, Position acknowledged) override
+    {
+        if (acknowledged != Position())
+            model_.shareAcknowledged(index, acknowledged);
+    }
     void reportSuspicion(std::string_view suspect, bool suspected) override
     {
         if (suspected)
@@ -517,6 +522,19 @@
     }
 }
 
+/// Passes on an acknowledged commit that \a sender knows of. The positions of the primary aren't
+/// passed on: each proxy asks for them itself.
+void ReplicationModel::shareAcknowledged(std::size_t sender, Position acknowledged)
+{
+    for (const auto &entry : proxies_) {
+        auto &proxy = *entry;
+        if (proxy.index == sender)
+            continue;
+        proxy.later(exchangeDelay,
+                    [&proxy, acknowledged] { proxy.scheduler.acknowledgedHeard(acknowledged); });
+    }
+}
+
 void ReplicationModel::shareSuspicions()
 {
     afterStore(between(5ms, 30ms), [this] {
@@ -551,7 +569,9 @@
                    "",
                    choice.position,
                    record_.revision.next(),
-                   choice.endedTerm};
+                   choice.endedTerm,
+                   0,
+                   choice.floor};
         tellRecord();
         proxy.later(storeCallTime, [this, &proxy, record = record_] { order(proxy, record); });
     });
@@ -585,6 +605,15 @@
 }
 
 void ReplicationModel::order(Proxy &proxy, const PromotionRecord &record)
+{
+    const auto wait = proxy.scheduler.confirmationDelay(time_.now());
+    if (wait > Duration::zero())
+        proxy.later(wait, [this, &proxy, record] { confirmOrder(proxy, record); });
+    else
+        confirmOrder(proxy, record);
+}
+
+void ReplicationModel::confirmOrder(Proxy &proxy, const PromotionRecord &record)
 {
     auto &chosen = server(record.server);
     if (!proxy.scheduler.confirmsPromotion(record.server, time_.now())) {
--- a/tests/sessions/replicationmodel.h
+++ b/tests/sessions/replicationmodel.h
@@ -81,11 +81,13 @@
 
     void pump();
     void publish();
+    void shareAcknowledged(std::size_t sender, Position acknowledged);
     void shareSuspicions();
     void writeRecord(Proxy &proxy, const PromotionChoice &choice);
     void tellRecord();
     void withdraw(Proxy &proxy, const PromotionRecord &record);
     void order(Proxy &proxy, const PromotionRecord &record);
+    void confirmOrder(Proxy &proxy, const PromotionRecord &record);
     void demote(Server &primary, Term term);
     void endWaitingCommits(Server &primary);
     void lead(Server &chosen, std::int64_t token);
--- a/tests/sessions/test_exchange.cpp
+++ b/tests/sessions/test_exchange.cpp
@@ -257,4 +257,28 @@
     BOOST_TEST(sharing.takeForSharing(start + 1100ms));
 }
 
+// Guards against a promotion that loses commits which other proxies know to be acknowledged: that
+// is passed on also with an older position, and to a proxy that doesn't know the sender's clock
+// yet.
+BOOST_FIXTURE_TEST_CASE(acknowledged_commits_are_known_to_all, ExchangeFixture)
+{
+    auto watermark = mark(100, clock("nord0"));
+    watermark.acknowledged = {1, 90};
+    exchanges.at("nord0").observed(watermark);
+    run(300ms);
+    for (const auto &member : members) {
+        if (member.vm != "nord0")
+            BOOST_TEST((known[member.vm]["bookings"].acknowledged == Position{1, 90}), member.vm);
+    }
+    run(2s);
+    watermark = mark(80, clock("sud1") - 10s);
+    watermark.acknowledged = {1, 95};
+    exchanges.at("sud1").observed(watermark);
+    run(300ms);
+    for (const auto &member : members) {
+        if (member.vm != "sud1")
+            BOOST_TEST((known[member.vm]["bookings"].acknowledged == Position{1, 95}), member.vm);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/sessions/test_promotionplanner.cpp
+++ b/tests/sessions/test_promotionplanner.cpp
@@ -383,6 +383,42 @@
     BOOST_TEST(review({primary, replica, holder}).server == "h");
 }
 
+// Guards against the promotion of a replica that lacks what was acknowledged before the last
+// promotion, or what is known to have been acknowledged since, when nobody who holds it is known.
+BOOST_AUTO_TEST_CASE(replica_behind_the_log_floor_prevents_the_choice)
+{
+    planner.setConfirmReplicas(1);
+    planner.setLogFloor({1, 101});
+    primary.refusedFor = 1s;
+    replica.paused = true;
+    const auto step = review();
+    BOOST_TEST(step.server.empty());
+    BOOST_REQUIRE(step.blockedBy.size() == 1);
+    BOOST_TEST(step.blockedBy.front() == "acknowledged_log");
+    replica.received = {1, 101};
+    BOOST_TEST(review().server == "r");
+    BOOST_TEST((review().floor == Position{1, 101}));
+    // Where commits don't wait for replicas, the one that holds the most is promoted.
+    replica.received = {1, 100};
+    planner.setConfirmReplicas(0);
+    BOOST_TEST(review().server == "r");
+}
+
+// Guards against a group that waits for a former primary, which has left, because of commits that
+// nobody but it has received.
+BOOST_AUTO_TEST_CASE(former_primary_counts_as_no_replica_of_its_term)
+{
+    planner.setConfirmReplicas(1);
+    replica.paused = true;
+    auto former = replica;
+    former.id = "f";
+    former.received = {1, 104};
+    former.ledNewestTerm = true;
+    const auto step = planner.review(std::vector{former, replica}, 2s, now);
+    BOOST_TEST(step.server == "r");
+    BOOST_TEST((step.floor == replica.received));
+}
+
 // Guards against replicas that stay paused, and commits that stay blocked, after the proxy that
 // paused the replicas has ended.
 BOOST_AUTO_TEST_CASE(paused_replicas_lead_to_a_promotion)
@@ -398,4 +434,28 @@
     BOOST_TEST(!step.suspected);
 }
 
+// Guards against a log floor that is above an acknowledged commit, which would block promotions
+// that lose nothing, and against one that doesn't tell the term of the commit.
+BOOST_AUTO_TEST_CASE(log_floor_is_at_or_below_each_acknowledged_commit)
+{
+    LogFloor floor;
+    floor.commitAcknowledged({1, 20}, 1, {1, 25});
+    BOOST_TEST((floor.position() == Position{1, 21}));
+    // The server was a replica in term 1, so it committed in term 2.
+    floor.commitAcknowledged({1, 24}, 2, {2, 25});
+    BOOST_TEST((floor.position() == Position{2, 1}));
+    // The answer to a commit of term 2 may come from term 3.
+    floor.commitAcknowledged({2, 30}, 2, {3, 31});
+    BOOST_TEST((floor.position() == Position{2, 31}));
+    floor.commitAcknowledged({2, 10}, 2, {2, 40});
+    floor.commitAcknowledged({3, 50}, 2, {2, 40}); // What was known before contradicts the answer.
+    BOOST_TEST((floor.position() == Position{2, 31}));
+    floor.setPromoted({2, 35});
+    floor.heard({2, 33});
+    BOOST_TEST((floor.acknowledged() == Position{2, 33}));
+    BOOST_TEST((floor.position() == Position{2, 35}));
+    floor.forgetAcknowledged();
+    BOOST_TEST((floor.position() == Position{2, 35}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/wire/test_exchangecodec.cpp
+++ b/tests/wire/test_exchangecodec.cpp
@@ -40,7 +40,7 @@
     message.probe = TimePoint(Duration(123456789));
     message.echo = ClockEcho{TimePoint(Duration(5)), TimePoint(Duration(99))};
     message.watermarks = {{"bookings", {3, 1207}, TimePoint(Duration(777))},
-                          {"rounds", {1, 0}, TimePoint(Duration(0))}};
+                          {"rounds", {1, 0}, TimePoint(Duration(0)), {1, 1199}}};
     message.relayed = true;
     return message;
 }
