--- a/src/core/serverlink.h
+++ b/src/core/serverlink.h
@@ -84,7 +84,7 @@
     Term stoppedUntilTerm = 0;
     bool lastPrimary = false; ///< It is or was the primary, and hasn't been a replica since.
     Term replicaTerm = 0;     ///< Newest term in which it reported itself as a replica.
-    Term ledTerm = 0; ///< Newest term in which it reported itself as the primary.
+    Term ledTerm = 0;         ///< Newest term in which it reported itself as the primary.
     /// Whether it reported itself as a replica after a demotion, and no successor is known.
     bool demoted = false;
     TimePoint demotedAt = TimePoint{};
