Name the type of a known promotion where it is made

Cause: clang 14, which the linter uses, doesn't initialize an aggregate from a list of arguments in parentheses, so the linter failed. Change: the type is named. No behaviour changes.

--- a/src/core/directory.cpp
+++ b/src/core/directory.cpp
@@ -54,7 +54,8 @@
 
 const PromotionRecord &Directory::promotionSeen(const PromotionRecord &record)
 {
-    const auto [found, added] = promotions_.try_emplace(record.service, record, false);
+    const auto [found, added] =
+        promotions_.try_emplace(record.service, KnownPromotion{record, false});
     auto &[known, lost] = found->second;
     if (!added && known.revision < record.revision)
         lost = !mergePromotion(record, known) && !isSameOrder(record, known);
