--- a/src/core/promotionplanner.cpp
+++ b/src/core/promotionplanner.cpp
@@ -100,7 +100,8 @@
     });
 }
 
-/// The former primary, which holds every acknowledged commit, if it was demoted and answers.
+/// The former primary of the newest term, which holds every acknowledged commit, if it answers as a
+/// replica.
 const FailoverCandidate *
 PromotionPlanner::demotedPrimary(std::span<const FailoverCandidate> servers, TimePoint now) const
 {
