Keep the seeds that failed in the replication model as cases

Change: 178 and 89 of the drawn faults, and 505, 793, 1399 and 1566 of the drawn silences, are cases with a line on the cause. The checks are the same.

--- a/tests/sessions/test_replication.cpp
+++ b/tests/sessions/test_replication.cpp
@@ -251,7 +251,7 @@
 }
 
 /// Seeds beyond those of the suite that have failed.
-constexpr std::array<std::uint64_t, 3> storeAwaySeeds{438, 498, 302};
+constexpr std::array<std::uint64_t, 5> storeAwaySeeds{438, 498, 302, 178, 89};
 
 void checkDrawnFaults(std::uint64_t seed, bool obeysDemote)
 {
@@ -285,7 +285,9 @@
 
 // Guards against commits that a promotion loses because its choice was recorded long after it was
 // made, when the store was back: the primary had returned and a replica had joined (438, 498); and
-// against a group without a primary because an order that was withdrawn still delayed others (302).
+// against a group without a primary because an order that was withdrawn still delayed others (302);
+// against a choice that was confirmed before the entries of joined replicas were read (178); and
+// against a group that waits for the unconfirmed end of a former primary's log (89).
 BOOST_DATA_TEST_CASE(choice_that_waited_for_the_store_loses_no_commit, storeAwaySeeds, seed)
 {
     checkDrawnFaults(seed, true);
@@ -378,6 +380,20 @@
     model.run(25s);
 }
 
+/// Seeds beyond those of the suite that have failed.
+constexpr std::array<std::uint64_t, 4> withdrawnOrderSeeds{505, 793, 1399, 1566};
+
+void checkDrawnSilences(std::uint64_t seed)
+{
+    ReplicationModelSettings settings;
+    settings.servers = 3 + seed % 3;
+    settings.confirmReplicas = settings.servers > 4 && seed % 2 == 0 ? 2 : 1;
+    ReplicationModel model(settings, seed);
+    playSilences(model, seed, settings.proxies);
+    BOOST_TEST(model.lost() == 0U, "seed " << seed << '\n' << model.trace());
+    BOOST_TEST((model.sinceAcknowledged() < 4s), "seed " << seed << '\n' << model.trace());
+}
+
 } // namespace
 
 // Guards against lost commits, and against a group that stays without a primary, while servers are
@@ -385,15 +401,15 @@
 // proxy remembers what was before.
 BOOST_AUTO_TEST_CASE(drawn_silences_lose_no_acknowledged_commit)
 {
-    for (std::uint64_t seed = 1; seed <= lastSeed(); ++seed) {
-        ReplicationModelSettings settings;
-        settings.servers = 3 + seed % 3;
-        settings.confirmReplicas = settings.servers > 4 && seed % 2 == 0 ? 2 : 1;
-        ReplicationModel model(settings, seed);
-        playSilences(model, seed, settings.proxies);
-        BOOST_TEST(model.lost() == 0U, "seed " << seed << '\n' << model.trace());
-        BOOST_TEST((model.sinceAcknowledged() < 4s), "seed " << seed << '\n' << model.trace());
-    }
+    for (std::uint64_t seed = 1; seed <= lastSeed(); ++seed)
+        checkDrawnSilences(seed);
+}
+
+// Guards against a group without a primary because all logs counted as forked after a promotion
+// without commits and a withdrawn order.
+BOOST_DATA_TEST_CASE(withdrawn_order_leaves_servers_to_promote, withdrawnOrderSeeds, seed)
+{
+    checkDrawnSilences(seed);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
