Take no error for the reply to a statement unless it is known to be one

Cause: replies were known by their order alone. STATUS was sent behind a running write after 250 ms of silence; its BUSY was taken for the reply to the write, which was sent again. A missing signature shows a lost reply, but an error has none.

Change: ReplySequence matches the replies of a connection to its commands. An error with replies due behind it is withheld until as many replies as commands have arrived; a begin or a probe must show an open transaction. Nothing is sent behind a statement: reports and demotions go over the control connection where no connection is idle. Two metrics count lost and withheld replies. The stand-in of the databases goes on, stays silent, closes or cuts after a lost answer and can be busy; the soak draws how, from a generator of its own, so that its seeds keep their other faults.

Ruled out: only withholding the error, since the report then waits as long as the statement, and a healthy primary is replaced during a statement of more than 0.5 s, as before.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -64,6 +64,7 @@
 #include "core/readeligibility.h"
 #include "core/rendezvous.h"
 #include "core/replicapolicy.h"
+#include "core/replysequence.h"
 #include "core/responseestimate.h"
 #include "core/roundrobinpolicy.h"
 #include "core/router.h"
--- a/src/core/groupscheduler.cpp
+++ b/src/core/groupscheduler.cpp
@@ -336,8 +336,7 @@
 {
     connection.lastUsed = now;
     servers_.at(key.server).commandsSent(now);
-    for (const auto kind : kinds)
-        connection.outstanding.push_back({kind, now, watermarks_.newest()});
+    connection.replies.sent(kinds, now, watermarks_.newest());
     port_.sendCommands(key, commands);
 }
 
--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -69,6 +69,8 @@
     std::uint64_t connectionsOpened = 0;
     std::uint64_t connectionsLost = 0;
     std::uint64_t connectionsRefused = 0; ///< Openings that a server refused.
+    std::uint64_t repliesLost = 0;        ///< Connections closed because a reply was missing.
+    std::uint64_t repliesWithheld = 0;    ///< Errors that awaited the replies due behind them.
     std::uint64_t watermarksHeard = 0;    ///< Watermarks that other proxies have passed on.
     std::uint64_t watermarksShared = 0;   ///< Watermarks passed on to other proxies.
 };
@@ -248,11 +250,13 @@
     void openConnection(ServerNumber number, ConnectionId id, TimePoint now);
 
     // Replies
+    void handleReply(ServerConnectionKey key, ServerReply reply, const OutstandingCommand &expected,
+                     TimePoint now);
     void handleOpening(ServerConnectionKey key, const ServerReply &reply, TimePoint now);
     void handleRefusal(ServerNumber number, AnswerCode code, TimePoint now);
     void handleBegin(ServerConnectionKey key, const ServerReply &reply, TimePoint now);
-    void handleStatement(ServerConnectionKey key, ServerReply reply,
-                         const ServerConnection::Outstanding &sent, TimePoint now);
+    void handleStatement(ServerConnectionKey key, ServerReply reply, const OutstandingCommand &sent,
+                         TimePoint now);
     void handleReport(ServerLink &link, const ServerReply &reply, TimePoint sentAt, TimePoint now);
     void handleDemotion(ServerLink &link, const ServerReply &reply, TimePoint sentAt,
                         TimePoint now);
@@ -339,9 +343,6 @@
     void probeIdle(ServerNumber number, TimePoint now);
     bool sendOnIdleConnection(ServerNumber number, std::span<const ServerCommand> commands,
                               std::span<const ExpectedReply> kinds, TimePoint now);
-
-    bool sendBehindStatement(ServerNumber number, const ServerCommand &command, ExpectedReply kind,
-                             TimePoint now);
     bool sendOnControlConnection(ServerNumber number, const ServerCommand &command,
                                  ExpectedReply kind, TimePoint now);
     void moveFromSilentServer(ServerNumber number, TimePoint now);
--- a/src/core/groupscheduler_connections.cpp
+++ b/src/core/groupscheduler_connections.cpp
@@ -46,7 +46,7 @@
     std::vector<ConnectionId> closedControl;
     for (const auto &[id, connection] : link->connections) {
         if (connection.control) {
-            const bool unused = connection.open && connection.outstanding.empty();
+            const bool unused = connection.open && connection.replies.empty();
             if (unused && (limit == 0 || now - connection.lastUsed >= idleControlLimit))
                 closedControl.push_back(id);
             continue;
@@ -85,7 +85,8 @@
 {
     auto &link = servers_.at(number);
     auto &connection = link.connections[id];
-    connection.outstanding.push_back({ExpectedReply::Opening, now});
+    constexpr auto kind = ExpectedReply::Opening;
+    connection.replies.sent({&kind, 1}, now);
     link.commandsSent(now);
     connection.lastUsed = now;
     ++counters_.connectionsOpened;
@@ -108,10 +109,9 @@
         return;
     std::vector<ServerConnectionKey> stuck;
     for (const auto &[id, connection] : link->connections) {
-        if (connection.outstanding.empty() || connection.request)
+        if (connection.replies.empty() || connection.request)
             continue;
-        const auto &oldest = connection.outstanding.front();
-        if (now - oldest.sentAt > settings_.openTimeout)
+        if (now - connection.replies.oldest().sentAt > settings_.openTimeout)
             stuck.push_back({number, id});
     }
     for (const auto &key : stuck) {
--- a/src/core/groupscheduler_replies.cpp
+++ b/src/core/groupscheduler_replies.cpp
@@ -26,18 +26,32 @@
         return;
     if (reply.position)
         link->position = *reply.position;
-    if (connection->outstanding.empty()) {
+    if (!connection->replies.received(std::move(reply))) {
         abortConnection(key, "a reply arrived although none was due", now);
         return;
     }
-    const auto expected = connection->outstanding.front();
-    connection->outstanding.pop_front();
     link->replyReceived(now);
-    const bool mismatched = !reply.signature.empty() && expected.kind != ExpectedReply::Statement;
-    if (mismatched) {
-        abortConnection(key, "the reply belongs to another command, so one was lost", now);
-        return;
+    // Handling a reply may close the connection.
+    for (connection = find(key); connection != nullptr; connection = find(key)) {
+        auto match = connection->replies.next();
+        if (!match) {
+            counters_.repliesWithheld += connection->replies.withheld() > 0 ? 1 : 0;
+            return;
+        }
+        if (match->foreign) {
+            ++counters_.repliesLost;
+            abortConnection(key, "the reply belongs to another command, so one was lost", now);
+            return;
+        }
+        handleReply(key, std::move(match->reply), match->command, now);
     }
+}
+
+void GroupScheduler::handleReply(ServerConnectionKey key, ServerReply reply,
+                                 const OutstandingCommand &expected, TimePoint now)
+{
+    auto *link = find(key.server);
+    auto *connection = find(key);
     switch (expected.kind) {
     case ExpectedReply::Opening:
         handleOpening(key, reply, now);
@@ -55,7 +69,7 @@
     case ExpectedReply::ProxyRollback:
         if (reply.error || reply.state != TransactionState::None)
             abortConnection(key, "the transaction could not be ended", now);
-        else if (connection->outstanding.empty())
+        else if (connection->replies.empty())
             releaseConnection(key, now);
         break;
     case ExpectedReply::Probe:
@@ -173,7 +187,7 @@
 }
 
 void GroupScheduler::handleStatement(ServerConnectionKey key, ServerReply reply,
-                                     const ServerConnection::Outstanding &sent, TimePoint now)
+                                     const OutstandingCommand &sent, TimePoint now)
 {
     auto &connection = *find(key);
     const auto found = connection.request ? requests_.find(*connection.request) : requests_.end();
@@ -186,10 +200,6 @@
         handleError(key, found->second, *reply.error, reply, now);
         return;
     }
-    if (reply.signature.empty()) {
-        abortConnection(key, "the reply to the statement was truncated or lost", now);
-        return;
-    }
     connection.request.reset();
     found->second.sentAt = sent.sentAt;
     found->second.logEndBefore = sent.logEnd;
@@ -199,7 +209,7 @@
 /// Handles the late reply to a read that was retried at another server.
 void GroupScheduler::discardReply(ServerConnectionKey key, const ServerReply &reply, TimePoint now)
 {
-    if (!find(key)->outstanding.empty())
+    if (!find(key)->replies.empty())
         return; // The last outstanding reply releases the connection.
     if (reply.state == TransactionState::None)
         releaseConnection(key, now);
@@ -258,7 +268,7 @@
     }
     finish(pending, std::move(answer));
     const auto *used = find(key);
-    if (ended && used != nullptr && used->outstanding.empty())
+    if (ended && used != nullptr && used->replies.empty())
         releaseConnection(key, now);
     else if (!ended)
         startQueued(key.server, now);
@@ -348,11 +358,11 @@
     // The connection is released first, so that a retry can use it.
     auto &connection = *find(key);
     if (request.scope == RequestScope::BeginTransaction || reply.state != TransactionState::None) {
-        if (connection.outstanding.empty())
+        if (connection.replies.empty())
             rollBack(key, now);
-        else if (connection.outstanding.front().kind != ExpectedReply::ProxyRollback)
+        else if (connection.replies.oldest().kind != ExpectedReply::ProxyRollback)
             abortConnection(key, "a failed transaction is open while other replies are due", now);
-    } else if (connection.outstanding.empty()) {
+    } else if (connection.replies.empty()) {
         releaseConnection(key, now);
     }
     const auto found = requests_.find(number);
--- a/src/core/groupscheduler_servers.cpp
+++ b/src/core/groupscheduler_servers.cpp
@@ -239,23 +239,6 @@
     return false;
 }
 
-/// Sends \a command on a connection that runs a statement outside of any transaction, for use when
-/// no connection is idle. Returns whether there was such a connection.
-bool GroupScheduler::sendBehindStatement(ServerNumber number, const ServerCommand &command,
-                                         ExpectedReply kind, TimePoint now)
-{
-    for (auto &[id, connection] : servers_.at(number).connections) {
-        const bool suitable = connection.open && connection.request && !connection.session
-                              && connection.afterBegin.empty() && connection.outstanding.size() == 1
-                              && connection.outstanding.front().kind == ExpectedReply::Statement;
-        if (!suitable)
-            continue;
-        send({number, id}, connection, {&command, 1}, {&kind, 1}, now);
-        return true;
-    }
-    return false;
-}
-
 /// Sends \a command on the server's control connection. If there is none, it is opened for a later
 /// call. Returns whether the command was sent.
 bool GroupScheduler::sendOnControlConnection(ServerNumber number, const ServerCommand &command,
@@ -265,7 +248,7 @@
     for (auto &[id, connection] : link.connections) {
         if (!connection.control)
             continue;
-        if (!connection.open || !connection.outstanding.empty())
+        if (!connection.open || !connection.replies.empty())
             return false;
         send({number, id}, connection, {&command, 1}, {&kind, 1}, now);
         return true;
@@ -300,13 +283,12 @@
         const bool demotes = link.primary && link.demotionWantedAt && !link.demotionRefused;
         const auto kind = demotes ? ExpectedReply::Demotion : ExpectedReply::Report;
         const auto &command = demotes ? demote : pauses ? pause : status;
-        // Where commits wait for replicas, a report behind a statement could wait as long.
-        const bool sent =
-            sendOnIdleConnection(number, {&command, 1}, {&kind, 1}, now)
-            || (confirmReplicas_ > 0
-                    ? link.registered && sendOnControlConnection(number, command, kind, now)
-                    : sendBehindStatement(number, command, kind, now));
-        if (sent)
+        // A report isn't requested behind a statement: it would wait as long, and nothing would
+        // tell an error in its place from one of the statement.
+        const bool mayAsk =
+            confirmReplicas_ > 0 ? link.registered : link.runsStatement() && !link.awaitsOwnReply();
+        if (sendOnIdleConnection(number, {&command, 1}, {&kind, 1}, now)
+            || (mayAsk && sendOnControlConnection(number, command, kind, now)))
             link.reportRequestedAt = now;
     }
 }
--- a/src/core/serverlink.cpp
+++ b/src/core/serverlink.cpp
@@ -43,7 +43,21 @@
 bool ServerLink::awaitsReply() const
 {
     return std::any_of(connections.begin(), connections.end(),
-                       [](const auto &entry) { return !entry.second.outstanding.empty(); });
+                       [](const auto &entry) { return entry.second.replies.due() > 0; });
+}
+
+bool ServerLink::awaitsOwnReply() const
+{
+    return std::any_of(connections.begin(), connections.end(), [](const auto &entry) {
+        return !entry.second.request && entry.second.replies.due() > 0;
+    });
+}
+
+bool ServerLink::runsStatement() const
+{
+    return std::any_of(connections.begin(), connections.end(), [](const auto &entry) {
+        return entry.second.request && entry.second.replies.due() > 0;
+    });
 }
 
 void ServerLink::connectionFailed(TimePoint now)
@@ -92,7 +106,7 @@
         if (connection.session || connection.control)
             continue;
         ++capacity.total;
-        if (!connection.open || !connection.outstanding.empty())
+        if (!connection.open || !connection.replies.empty())
             ++capacity.busy;
     }
     return capacity;
--- a/src/core/serverlink.h
+++ b/src/core/serverlink.h
@@ -5,11 +5,11 @@
 #include "core/connectioncontent.h"
 #include "core/connections/connectionallotment.h"
 #include "core/grouprequest.h"
+#include "core/replysequence.h"
 #include "core/responseestimate.h"
 #include "core/routing/errorwatch.h"
 #include "core/serverregistration.h"
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,34 +17,14 @@
 
 namespace shallotwalk {
 
-/// Kind of command that an outstanding reply on a connection belongs to.
-enum class ExpectedReply {
-    Opening,
-    Preparation, ///< Session values and prepared statements.
-    Begin,
-    Statement,
-    ProxyRollback, ///< A rollback that the proxy sends by itself.
-    Probe,         ///< A begin that checks whether the server is the primary.
-    Report,        ///< Status, Pause or Resume.
-    Demotion,
-};
-
 /// State of one connection to a backend server.
 struct ServerConnection
 {
-    /// A command whose reply is due.
-    struct Outstanding
-    {
-        ExpectedReply kind = ExpectedReply::Opening;
-        TimePoint sentAt;
-        Position logEnd = {}; ///< Of the primary, as known when the command was sent.
-    };
-
     bool open = false;
     std::string team; ///< Team that it was opened for; empty: none.
     /// While it is being opened: the request that runs on it first, if it is for a certain one.
     std::optional<RequestNumber> reservedFor;
-    std::deque<Outstanding> outstanding; ///< Oldest first; replies arrive in this order.
+    ReplySequence replies;
     ConnectionContent content;
     std::optional<RequestNumber> request; ///< The request that runs on the connection.
     std::optional<SessionNumber> session; ///< Session whose transaction is open on the connection.
@@ -59,7 +39,7 @@
     bool control = false;
 
     /// Returns whether a request or a command of the proxy may use the connection now.
-    bool idle() const { return open && outstanding.empty() && !session && !request && !control; }
+    bool idle() const { return open && replies.empty() && !session && !request && !control; }
 };
 
 /// State of one backend server of a group, with its connections and the queue of requests that wait
@@ -113,7 +93,7 @@
     /// Records that commands were sent, whose replies are due from now on.
     void commandsSent(TimePoint now);
 
-    /// Records the arrival of a reply. \pre Its command has been removed from the outstanding ones.
+    /// Records the arrival of a reply. \pre Its connection has taken it.
     void replyReceived(TimePoint now);
 
     /// Records that a connection could not be opened, was closed by the server, or timed out.
@@ -138,6 +118,12 @@
     /// Returns whether any reply is due on the existing connections.
     bool awaitsReply() const;
 
+    /// Returns whether a reply to a command of the proxy, or to an opening, is due.
+    bool awaitsOwnReply() const;
+
+    /// Returns whether a reply to a request is due.
+    bool runsStatement() const;
+
     /// Returns the number of open connections for requests.
     std::size_t openConnections() const;
 
--- a/src/gateway/groupactor.cpp
+++ b/src/gateway/groupactor.cpp
@@ -388,6 +388,12 @@
         + metricText("shallotwalk_server_connections_refused_total", "counter",
                      "Connections that backend servers refused.", counters.connectionsRefused,
                      labels)
+        + metricText("shallotwalk_server_replies_lost_total", "counter",
+                     "Connections closed because a reply was missing.", counters.repliesLost,
+                     labels)
+        + metricText("shallotwalk_server_replies_withheld_total", "counter",
+                     "Errors that awaited the replies due behind them.", counters.repliesWithheld,
+                     labels)
         + metricText("shallotwalk_watermarks_heard_total", "counter",
                      "Positions of the primary from other proxies.", counters.watermarksHeard,
                      labels)
--- a/tests/soak/faultdriver.cpp
+++ b/tests/soak/faultdriver.cpp
@@ -1,5 +1,6 @@
 #include "soak/faultdriver.h"
 
+#include <array>
 #include <csignal>
 #include <thread>
 
@@ -23,6 +24,7 @@
 FaultDriver::FaultDriver(unsigned seed, test::PlatformFleet &fleet,
                          std::vector<std::unique_ptr<FaultLink>> &clientLinks, History &history)
     : random_(seed)
+    , lossRandom_(seed)
     , fleet_(fleet)
     , clientLinks_(clientLinks)
     , history_(history)
@@ -144,8 +146,7 @@
         return;
     const auto leader = fleet_.leader();
     if (kind == 1) {
-        ++counts_["answer lost"];
-        fleet_.fault("lose_answers", idBody(leader));
+        loseAnswer(leader, duration);
         return;
     }
     const auto id = random_() % 2 == 0 ? leader : "db-" + std::to_string(1 + random_() % 3);
@@ -158,6 +159,24 @@
     });
 }
 
+/// Loses the answer to the next write at \a id. Where the connection goes on, other clients may
+/// take all slots of the server meanwhile, so that its next answers are errors.
+void FaultDriver::loseAnswer(const std::string &id, std::chrono::milliseconds duration)
+{
+    constexpr std::array manners{"close", "silence", "go_on", "cut"};
+    const std::string how = manners[lossRandom_() % manners.size()];
+    ++counts_["answer lost (" + how + ")"];
+    fleet_.fault("lose_answers", R"({"id": ")" + id + R"(", "how": ")" + how + "\"}");
+    if (how != "go_on")
+        return;
+    const auto busy = [this, id](bool on) {
+        fleet_.fault("busy", R"({"id": ")" + id + R"(", "on": )" + (on ? "true}" : "false}"));
+    };
+    const std::chrono::milliseconds after(20 + lossRandom_() % 200);
+    endLater(after, [busy] { busy(true); });
+    endLater(after + duration / 2, [busy] { busy(false); });
+}
+
 void FaultDriver::injectAtStore(std::chrono::milliseconds duration)
 {
     switch (random_() % 3) {
--- a/tests/soak/faultdriver.h
+++ b/tests/soak/faultdriver.h
@@ -36,6 +36,7 @@
     void injectAtProxy(std::size_t proxy, std::chrono::milliseconds duration);
     void injectAtLinks(std::size_t proxy, std::chrono::milliseconds duration);
     void injectAtDatabases(std::chrono::milliseconds duration);
+    void loseAnswer(const std::string &id, std::chrono::milliseconds duration);
     void injectAtStore(std::chrono::milliseconds duration);
     void endLater(std::chrono::milliseconds after, std::function<void()> end);
     void endDue(bool all);
@@ -43,6 +44,7 @@
     void checkProcesses();
 
     std::mt19937 random_;
+    std::mt19937 lossRandom_; ///< Draws how answers are lost.
     test::PlatformFleet &fleet_;
     std::vector<std::unique_ptr<FaultLink>> &clientLinks_;
     History &history_;
--- a/tests/standins/platform/databasegroup.h
+++ b/tests/standins/platform/databasegroup.h
@@ -34,6 +34,14 @@
     std::string data;
 };
 
+/// What a connection does after an answer that is lost.
+enum class AnswerLoss {
+    Close,
+    Silence, ///< It takes further statements, runs none and answers none.
+    GoOn,    ///< The next statement is answered.
+    Cut,     ///< Like GoOn, but the answer is sent up to its last line.
+};
+
 /// The databases of one service: their logs, who leads, and the faults that a test asks for.
 /// Replication is instant, but for a lag between receipt and application. Thread-safe.
 class DatabaseGroup
@@ -49,6 +57,8 @@
         bool crashed = false;      ///< Refuses connections.
         bool silent = false;       ///< Takes everything and answers nothing.
         unsigned lostAnswers = 0;  ///< Of the next writes and commits.
+        AnswerLoss answerLoss = AnswerLoss::Close;
+        bool busy = false; ///< All slots are taken.
     };
 
     explicit DatabaseGroup(std::vector<std::string> ids);
--- a/tests/standins/platform/databaseserver.cpp
+++ b/tests/standins/platform/databaseserver.cpp
@@ -114,6 +114,8 @@
     }
     if (word != "QUERY")
         return false;
+    if (session.silent)
+        return true;
     const auto statement = take(line);
     std::optional<LogPlace> after;
     auto verb = take(line);
@@ -129,9 +131,22 @@
         text = begin(session, line == "READ");
     else
         text = run(session, statement, verb, line, loseAnswer);
-    if (loseAnswer)
-        return false;
-    text += ready(session);
+    return finish(socket, session, std::move(text), loseAnswer);
+}
+
+/// Sends \a text as the answer, or loses it as the test has asked. Returns whether the connection
+/// stays open.
+bool DatabaseServer::finish(Socket &socket, Session &session, std::string text, bool loseAnswer)
+{
+    if (loseAnswer) {
+        const auto loss = group_.with(id_, [](const auto &member) { return member.answerLoss; });
+        session.silent = loss == AnswerLoss::Silence;
+        if (loss != AnswerLoss::Cut)
+            return loss != AnswerLoss::Close;
+    } else {
+        text += ready(session);
+    }
+    boost::system::error_code error;
     asio::write(socket, asio::buffer(text), error);
     return !error;
 }
@@ -188,6 +203,8 @@
         session.prepared[name] = take(rest);
         return "DONE -\r\n";
     }
+    if (group_.with(id_, [](const auto &member) { return member.busy; }))
+        return fail(session, "BUSY");
     if (verb == "STATUS")
         return status();
     if (verb == "COMMIT")
--- a/tests/standins/platform/databaseserver.h
+++ b/tests/standins/platform/databaseserver.h
@@ -35,6 +35,7 @@
         bool open = false;   ///< A transaction is open.
         bool plain = false;  ///< It may write.
         bool failed = false; ///< It has failed.
+        bool silent = false; ///< Nothing further is answered.
         std::uint64_t term = 0;
         std::vector<LogEntry> writes;
         std::map<std::string, std::string> values;
@@ -51,6 +52,7 @@
     std::string status();
     std::string ready(const Session &session);
     std::string fail(Session &session, const std::string &error);
+    bool finish(Socket &socket, Session &session, std::string text, bool loseAnswer);
     bool leads(const Session &session);
 
     DatabaseGroup &group_;
--- a/tests/standins/platform/platformhandler.cpp
+++ b/tests/standins/platform/platformhandler.cpp
@@ -42,6 +42,15 @@
     return query;
 }
 
+AnswerLoss toAnswerLoss(std::string_view name)
+{
+    if (name == "silence")
+        return AnswerLoss::Silence;
+    if (name == "go_on")
+        return AnswerLoss::GoOn;
+    return name == "cut" ? AnswerLoss::Cut : AnswerLoss::Close;
+}
+
 } // namespace
 
 PlatformHandler::PlatformHandler()
@@ -361,7 +370,16 @@
         const std::scoped_lock lock(mutex_);
         registerServers();
     } else if (path == "lose_answers") {
-        group_.with(id(), [](auto &member) { member.lostAnswers = 1; });
+        const auto *how = body.if_contains("how");
+        const auto loss =
+            how == nullptr ? AnswerLoss::Close : toAnswerLoss(std::string_view(how->as_string()));
+        group_.with(id(), [loss](auto &member) {
+            member.lostAnswers = 1;
+            member.answerLoss = loss;
+        });
+    } else if (path == "busy") {
+        const bool busy = body.at("on").as_bool();
+        group_.with(id(), [busy](auto &member) { member.busy = busy; });
     } else if (path == "lag") {
         group_.setLag(Milliseconds(body.at("ms").to_number<std::int64_t>()));
     } else if (path == "log") {
