--- a/tests/adapter/test_lineprotocol.cpp
+++ b/tests/adapter/test_lineprotocol.cpp
@@ -184,6 +184,20 @@
 
 // Guards against a refused opening that is never reported: a server sends ERR without a READY after
 // it, so ERR alone has to complete the reply.
+// Guards against a reply that is made of an answer that was cut off and the next one. Its error
+// would assure a client that a statement which ran did not run, or its signature would be wrong.
+BOOST_AUTO_TEST_CASE(answer_that_was_cut_off_is_no_part_of_the_next)
+{
+    for (const std::string cut :
+         {"DONE 7.1f3.c\r\nERR BUSY\r\nREADY I 1.2\r\n", "DONE 7.1f3.cDONE -\r\nREADY I 1.2\r\n",
+          "ERR BUSY\r\nDONE 7.1f3.c\r\nREADY I 1.2\r\n", "DONE -\r\nROW x\r\nDONE 7.1f3.c\r\n",
+          "ROW xDONE 7.1f3.c\r\nREADY I 1.2\r\n", "DONE 7.1f3.c\r\nREADY I 1.ERR BUSY\r\n"}) {
+        const auto messages = decodeServer("READY I -\r\n" + cut);
+        BOOST_REQUIRE_MESSAGE(messages.size() == 2, cut);
+        BOOST_TEST(std::holds_alternative<InvalidMessage>(messages.back()), cut);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(refused_opening_is_a_reply)
 {
     const auto messages = decodeServer("ERR TOOMANY 16\r\n");
