Pass on no statement that the end of the process would cut

Cause: transactions got statements until 9/16 of the grace, a statement may take as long as its route's timeout, and the process ended after 5/6 of the grace. What came between 3.0 and 3.375 s and took more than 1.6 s was cut.

Change: the times follow from one another. Half of the grace is the last moment to pass on; before it a transaction is refused nothing. Statements in progress are awaited until shortly before the end, and what is left is answered ABORTED, or INDOUBT if it may have committed. Statements that were sent ahead, or await a quota, are refused after the last moment in place of being dropped. The loop over them no longer nests, so that many of them don't exhaust the stack.

Ruled out: only moving the last moment, since a statement of 2.5 s that is passed on just before it is still cut at 5 s.

--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -8,16 +8,25 @@
 
 using CloseIdle = caf::atom_constant<caf::atom("closeidle")>;
 using CloseAll = caf::atom_constant<caf::atom("closeall")>;
+using Abandon = caf::atom_constant<caf::atom("abandon")>;
 using Exit = caf::atom_constant<caf::atom("exit")>;
 
+/// Limits on the time that the process needs to end, and before that to send its last answers, each
+/// as a part of the grace if that is short. Ending takes longest while the log's reader is stalled.
+constexpr Duration maxEndingTime = std::chrono::milliseconds(500);
+constexpr int endingPart = 6;
+constexpr Duration maxSendingTime = std::chrono::milliseconds(200);
+constexpr int sendingPart = 15;
+
 } // namespace
 
 ShutdownTimes ShutdownTimes::within(Duration grace)
 {
     ShutdownTimes times;
     times.closeIdle = std::min(times.closeIdle, grace * 3 / 8);
-    times.closeAll = grace * 9 / 16;
-    times.exit = grace * 5 / 6;
+    times.closeAll = grace / 2;
+    times.exit = grace - std::min(maxEndingTime, grace / endingPart);
+    times.abandon = times.exit - std::min(maxSendingTime, grace / sendingPart);
     return times;
 }
 
@@ -52,6 +61,7 @@
             send(context_.sessions, CloseIdleSessions{});
         },
         [this](CloseAll) { send(context_.sessions, CloseAllSessions{}); },
+        [this](Abandon) { send(context_.sessions, AbandonStatements{}); },
         [this](SessionsClosed) {
             if (closingSessions_)
                 quit();
@@ -91,6 +101,7 @@
     send(context_.quotas, LeaveFleet{});
     delayed_send(this, context_.shutdown.closeIdle, CloseIdle::value);
     delayed_send(this, context_.shutdown.closeAll, CloseAll::value);
+    delayed_send(this, context_.shutdown.abandon, Abandon::value);
     delayed_send(this, context_.shutdown.exit, Exit::value);
 }
 
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -16,12 +16,17 @@
     /// Closing of idle sessions. By default late enough for the load balancer to have stopped
     /// sending clients: it asks for readiness once a second and stops after two negative answers.
     Duration closeIdle{std::chrono::milliseconds(2200)};
-    /// Closing of all sessions without a statement in progress; open transactions are rolled back.
+    /// Last moment at which a statement is passed on to a server. Sessions without a statement in
+    /// progress are closed; open transactions are rolled back.
     Duration closeAll{0};
+    /// Until then statements in progress are awaited. What is left is answered without its outcome.
+    Duration abandon{0};
     Duration exit{0}; ///< End of the process, even if sessions remain.
 
-    /// Times for a process that is killed \a grace after the signal. Transactions get a little more
-    /// than the first half of it to finish, and their last statements until its last sixth.
+    /// Times for a process that is killed \a grace after the signal. A statement that is passed on
+    /// must be answered: closeAll + the time of the statement <= abandon, or else it is answered at
+    /// abandon; abandon + the sending of answers <= exit; exit + the end of the process <= grace.
+    /// An open transaction has the first half of \a grace.
     static ShutdownTimes within(Duration grace);
 };
 
@@ -30,7 +35,7 @@
 {
     caf::actor directory; ///< Gets LeaveFleet.
     caf::actor quotas;    ///< Gets LeaveFleet.
-    caf::actor sessions;  ///< Gets CloseIdleSessions and CloseAllSessions.
+    caf::actor sessions;  ///< Gets CloseIdleSessions, CloseAllSessions and AbandonStatements.
     ShutdownTimes shutdown;
     std::shared_ptr<const Clock> clock;
 };
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -245,6 +245,12 @@
 {
 };
 
+/// Tells the sessions to answer the statement in progress without waiting for its server, and to
+/// end.
+struct AbandonStatements
+{
+};
+
 /// Tells the node that all sessions have ended after CloseIdleSessions.
 struct SessionsClosed
 {
@@ -291,5 +297,6 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::ServingChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::CloseIdleSessions)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::CloseAllSessions)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::AbandonStatements)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::SessionsClosed)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotwalk::LeaveFleet)
--- a/src/gateway/sessionactor.cpp
+++ b/src/gateway/sessionactor.cpp
@@ -70,11 +70,15 @@
             closeIfIdle();
         },
         [this](CloseAllSessions) {
-            // A statement in progress is answered first; it ends at its route's timeout at the
-            // latest.
             closeWhenAnswered_ = true;
-            if (pendingRequest_ == 0)
-                close();
+            serveNext();
+        },
+        [this](AbandonStatements) {
+            closeWhenAnswered_ = true;
+            if (pendingRequest_ != 0)
+                abandonStatement("the proxy is shutting down");
+            else
+                serveNext();
         },
         [this](DrainRequest) { close(); },
     };
@@ -93,23 +97,44 @@
     if (!groupEnded)
         return;
     group_ = nullptr;
-    if (pendingRequest_ == 0 || awaitingAdmission_)
+    if (pendingRequest_ != 0 && !awaitingAdmission_)
+        abandonStatement("its group has ended");
+}
+
+/// Answers the statement in progress, whose outcome won't be known.
+void SessionActor::abandonStatement(std::string_view reason)
+{
+    if (awaitingAdmission_) {
+        const auto step = std::move(*std::exchange(awaitingAdmission_, std::nullopt));
+        refuseOperation(*step.request, AnswerCode::Busy, reason);
         return;
-    spdlog::warn("event=statement_lost session={} outcome={} reason=\"its group has ended\"",
-                 number_, toString(*lostOutcome_.answer.error));
+    }
+    spdlog::warn("event=statement_lost session={} outcome={} reason={}", number_,
+                 toString(*lostOutcome_.answer.error), logValue(reason));
+    if (group_)
+        self_->send(group_, EndTransaction{number_});
     StatementFinished lost{pendingRequest_, std::move(lostOutcome_)};
     handleFinished(lost);
 }
 
+/// Handles received messages until one awaits its answer.
 void SessionActor::serveNext()
 {
+    // A statement may be answered while it is being handled; the loop then goes on.
+    if (serving_)
+        return;
+    serving_ = true;
     while (!closed_ && pendingRequest_ == 0 && !pendingOpening_) {
         auto message = decoder_->next();
         if (!message)
             break;
         handle(std::move(*message));
     }
-    closeIfIdle();
+    serving_ = false;
+    if (closeWhenAnswered_ && pendingRequest_ == 0)
+        close();
+    else
+        closeIfIdle();
 }
 
 void SessionActor::handle(ClientMessage message)
@@ -203,6 +228,15 @@
 
 void SessionActor::runStatement(SessionStep step)
 {
+    if (closeWhenAnswered_) {
+        // A statement that was sent ahead is answered, but not passed on any more.
+        if (step.request->scope == RequestScope::InTransaction && group_)
+            self_->send(group_, EndTransaction{number_});
+        const bool single = step.request->scope == RequestScope::Single;
+        refuseOperation(*step.request, single ? AnswerCode::Busy : AnswerCode::Aborted,
+                        "the proxy is shutting down");
+        return;
+    }
     if (step.request->scope != RequestScope::InTransaction || !group_)
         group_ = groupOf(step.pool);
     if (!group_) {
@@ -223,8 +257,9 @@
     StatementFinished refused{request.number, {}};
     refused.answer.answer.error = code;
     refused.answer.answer.text = reason;
-    if (request.scope != RequestScope::Single)
-        refused.answer.answer.state = TransactionState::Failed;
+    const bool ended =
+        request.scope == RequestScope::Single || request.statement.kind == StatementKind::Commit;
+    refused.answer.answer.state = ended ? TransactionState::None : TransactionState::Failed;
     handleFinished(refused);
 }
 
@@ -234,10 +269,7 @@
         return;
     pendingRequest_ = 0;
     send(session_->complete(std::move(message.answer)));
-    if (closeWhenAnswered_)
-        close();
-    else
-        serveNext();
+    serveNext();
 }
 
 caf::actor SessionActor::groupOf(const std::string &pool) const
--- a/src/gateway/sessionactor.h
+++ b/src/gateway/sessionactor.h
@@ -56,6 +56,7 @@
     void handleInvalid(const InvalidMessage &invalid);
     void handleFinished(StatementFinished &message);
     void updateRouting(const RoutingChanged &message);
+    void abandonStatement(std::string_view reason);
     void send(const SessionAnswer &answer);
     void refuseAndClose(AnswerCode code, std::string_view text);
     void write(const std::string &bytes);
@@ -76,6 +77,7 @@
     std::optional<SessionStep> awaitingAdmission_;
     GroupAnswer lostOutcome_;        ///< Outcome of that request if its group ends.
     caf::actor group_;               ///< Group of the last request and of the open transaction.
+    bool serving_ = false;           ///< serveNext() is running.
     bool closeWhenIdle_ = false;     ///< CloseIdleSessions was received.
     bool closeWhenAnswered_ = false; ///< CloseAllSessions was received.
     bool closed_ = false;
--- a/src/gateway/sessionlistener.cpp
+++ b/src/gateway/sessionlistener.cpp
@@ -68,6 +68,10 @@
         },
         [this](CloseIdleSessions) { closeIdleSessions(); },
         [this](CloseAllSessions) { closeAllSessions(); },
+        [this](AbandonStatements) {
+            for (const auto &session : sessions_)
+                self_->send(session, AbandonStatements{});
+        },
         [this](DrainRequest) {
             closeAllSessions();
             self_->quit();
--- a/tests/gatewayactors/test_sessionlistener.cpp
+++ b/tests/gatewayactors/test_sessionlistener.cpp
@@ -50,12 +50,8 @@
             caf::actor(self));
         self->receive([](RoutingRequest) {});
         publishGroups({{"bookings", self}});
-        client = boost::leaf::try_handle_all(
-            [&] { return TcpStream::connect("127.0.0.1", settings.port, clock->now() + 5s); },
-            [] { return TcpStream(); });
-        BOOST_REQUIRE(client.isOpen());
-        send("START rounds someone\r\n");
-        BOOST_REQUIRE(receiveUntil("READY") != "");
+        port = settings.port;
+        connect();
     }
     ~SessionListenerFixture()
     {
@@ -64,6 +60,17 @@
         self->wait_for(listener);
     }
 
+    /// Opens the client's session.
+    void connect()
+    {
+        client = boost::leaf::try_handle_all(
+            [&] { return TcpStream::connect("127.0.0.1", port, clock->now() + 5s); },
+            [] { return TcpStream(); });
+        BOOST_REQUIRE(client.isOpen());
+        send("START rounds someone\r\n");
+        BOOST_REQUIRE(receiveUntil("READY") != "");
+    }
+
     void publishGroups(std::map<std::string, caf::actor, std::less<>> groups)
     {
         auto routing = std::make_shared<SessionRouting>();
@@ -124,6 +131,7 @@
     std::shared_ptr<const Router> router;
     caf::actor listener;
     caf::actor session;
+    std::uint16_t port = 0;
     TcpStream client;
 };
 
@@ -168,6 +176,50 @@
     BOOST_TEST(receiveUntil("anything") == "");
 }
 
+// Guards against statements that were received and end without an answer: those sent ahead are
+// refused once the sessions close, in one go however many there are.
+BOOST_AUTO_TEST_CASE(statements_sent_ahead_are_refused_when_all_sessions_close)
+{
+    constexpr std::size_t ahead = 20000;
+    send("QUERY q1 BEGIN\r\nQUERY q2 WRITE item data\r\n");
+    const auto request = takeRequest();
+    std::string text = "QUERY q3 COMMIT\r\n";
+    for (std::size_t i = 0; i < ahead; ++i)
+        text += "QUERY r" + std::to_string(i) + " READ item\r\n";
+    send(text + "QUERY last EXEC unknown\r\n");
+    std::this_thread::sleep_for(100ms);
+    self->send(listener, CloseIdleSessions{});
+    self->send(listener, CloseAllSessions{});
+    std::this_thread::sleep_for(100ms);
+    finish(request, TransactionState::Open);
+    const auto answers = receiveUntil("ERR NOSTMT");
+    BOOST_TEST(answers.find("ERR ABORTED") != std::string::npos);
+    std::size_t refused = 0;
+    for (auto at = answers.find("ERR BUSY"); at != std::string::npos;
+         at = answers.find("ERR BUSY", at + 1))
+        ++refused;
+    BOOST_TEST(refused == ahead);
+    BOOST_TEST(answers.find("ERR NOSTMT") != std::string::npos);
+}
+
+// Guards against a statement that ends without an answer because the process does: what its server
+// hasn't answered by then is in doubt or aborted.
+BOOST_AUTO_TEST_CASE(statement_in_progress_is_answered_when_it_is_abandoned)
+{
+    const std::pair<const char *, const char *> statements[] = {{"WRITE item data", "ERR INDOUBT"},
+                                                                {"READ item", "ERR ABORTED"}};
+    for (const auto &[statement, answer] : statements) {
+        send(std::string("QUERY q1 ") + statement + "\r\n");
+        takeRequest();
+        self->send(listener, CloseAllSessions{});
+        self->send(listener, AbandonStatements{});
+        const auto text = receiveUntil("READY I");
+        BOOST_TEST(text.find(answer) != std::string::npos, text);
+        BOOST_TEST(receiveUntil("anything") == "");
+        connect();
+    }
+}
+
 // Guards against a client that waits for good because the group of its statement has failed, and
 // against a promise that nothing was kept where a write may have run.
 BOOST_AUTO_TEST_CASE(statement_whose_group_has_ended_is_answered)
--- a/tests/standins/platform/databasegroup.cpp
+++ b/tests/standins/platform/databasegroup.cpp
@@ -105,6 +105,18 @@
     lag_ = lag;
 }
 
+void DatabaseGroup::setReads(Milliseconds work, std::size_t rows)
+{
+    const std::scoped_lock lock(mutex_);
+    reads_ = {work, rows};
+}
+
+std::pair<Milliseconds, std::size_t> DatabaseGroup::reads()
+{
+    const std::scoped_lock lock(mutex_);
+    return reads_;
+}
+
 void DatabaseGroup::noteTenant(const std::string &tenant)
 {
     const std::scoped_lock lock(mutex_);
--- a/tests/standins/platform/databasegroup.h
+++ b/tests/standins/platform/databasegroup.h
@@ -90,6 +90,10 @@
 
     void setLag(Milliseconds lag);
 
+    /// Sets how long a read takes, and how often its row is sent.
+    void setReads(Milliseconds work, std::size_t rows);
+    std::pair<Milliseconds, std::size_t> reads();
+
     /// Records that a connection was opened for \a tenant.
     void noteTenant(const std::string &tenant);
 
@@ -110,6 +114,7 @@
     std::map<std::string, Member> members_;
     std::vector<SteadyTime> commitTimes_; ///< Of the leader's log, by number.
     Milliseconds lag_{0};
+    std::pair<Milliseconds, std::size_t> reads_{0, 1};
     std::int64_t highestToken_ = 0;
 };
 
--- a/tests/standins/platform/databaseserver.cpp
+++ b/tests/standins/platform/databaseserver.cpp
@@ -218,11 +218,16 @@
     if (session.open && session.plain && !leads(session))
         return fail(session, "READONLY " + id_);
     if (verb == "READ") {
+        const auto [work, rows] = group_.reads();
+        std::this_thread::sleep_for(work);
         // The row shows the session's values too, so that a test sees those of another client.
         auto row = group_.read(id_, rest).first;
         for (const auto &[name, value] : session.values)
             row.append(" ").append(name).append("=").append(value);
-        return "ROW " + row + "\r\nDONE r." + statement + "\r\n";
+        std::string result;
+        for (std::size_t i = 0; i < rows; ++i)
+            result.append("ROW ").append(row).append("\r\n");
+        return result + "DONE r." + statement + "\r\n";
     }
     const auto item = take(rest);
     session.writes.push_back({{}, statement, item, rest});
--- a/tests/standins/platform/platformhandler.cpp
+++ b/tests/standins/platform/platformhandler.cpp
@@ -382,6 +382,9 @@
         group_.with(id(), [busy](auto &member) { member.busy = busy; });
     } else if (path == "lag") {
         group_.setLag(Milliseconds(body.at("ms").to_number<std::int64_t>()));
+    } else if (path == "reads") {
+        group_.setReads(Milliseconds(body.at("ms").to_number<std::int64_t>()),
+                        body.at("rows").to_number<std::size_t>());
     } else if (path == "log") {
         return respond(socket, request, http::status::ok, group_.log());
     } else if (path == "tenants") {
