End a session only after its last answer has been sent

Cause: a session ended when it had handed its answer to the network layer, and the process ended with its last session, whatever the kernel hadn't taken yet.

Change: a session counts the bytes that the kernel hasn't taken and ends when there are none. It reads on and drops what it reads, since closing a connection with unread data discards what is unsent. A client that doesn't read its last answer keeps its session for 30 s at most.

--- a/src/gateway/sessionactor.cpp
+++ b/src/gateway/sessionactor.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+using StopSending = caf::atom_constant<caf::atom("stop_send")>;
 using CheckOpening = caf::atom_constant<caf::atom("chk_open")>;
 
 constexpr std::size_t maxReadBytes = 65536;
@@ -42,16 +43,27 @@
     context_ = std::move(context);
     decoder_ = context_->protocols.sessions->makeClientDecoder();
     self_->configure_read(connection_, caf::io::receive_policy::at_most(maxReadBytes));
+    self_->ack_writes(connection_, true);
     self_->delayed_send(self_, context_->openingTimeout, CheckOpening::value);
     return {
         [this](const caf::io::new_data_msg &message) {
+            // What arrives at the end of the session is read and dropped: the kernel discards
+            // unsent data of a connection that is closed with unread data.
+            if (closed_)
+                return;
             decoder_->append(std::span(message.buf.data(), message.buf.size()));
             if (decoder_->buffered() > pipelineLimitBytes)
                 refuseAndClose(AnswerCode::TooBig, "too many pipelined statements");
             else
                 serveNext();
         },
-        [this](const caf::io::connection_closed_msg &) { close(); },
+        [this](const caf::io::data_transferred_msg &message) {
+            unsentBytes_ -= std::min<std::size_t>(unsentBytes_, message.written);
+            if (closed_ && unsentBytes_ == 0)
+                end();
+        },
+        [this](const caf::io::connection_closed_msg &) { closeAtOnce(); },
+        [this](StopSending) { closeAtOnce(); },
         [this](StatementFinished &message) { handleFinished(message); },
         [this](const OperationAdmitted &message) { handleAdmission(message); },
         [this](AdmissionsLost) {
@@ -299,12 +311,13 @@
 {
     if (closed_)
         return;
+    unsentBytes_ += bytes.size();
     self_->write(connection_, bytes.size(), bytes.data());
     self_->flush(connection_);
     if (self_->wr_buf(connection_).size() > context_->unsentLimitBytes) {
         spdlog::warn("event=session_closed session={} reason=\"the client does not read\"",
                      number_);
-        close();
+        closeAtOnce();
     }
 }
 
@@ -316,6 +329,7 @@
         close();
 }
 
+/// Ends the session once its last answer has been sent.
 void SessionActor::close()
 {
     if (std::exchange(closed_, true))
@@ -324,6 +338,24 @@
         session_ && (pendingRequest_ != 0 || session_->state() == TransactionState::Open);
     if (hasOpenWork && group_)
         self_->send(group_, EndTransaction{number_});
+    if (unsentBytes_ == 0)
+        end();
+    else
+        self_->delayed_send(self_, context_->sendingTimeout, StopSending::value);
+}
+
+/// Ends the session without waiting for its last answer to be sent.
+void SessionActor::closeAtOnce()
+{
+    unsentBytes_ = 0;
+    if (closed_)
+        end();
+    else
+        close();
+}
+
+void SessionActor::end()
+{
     self_->close(connection_);
     self_->quit();
 }
--- a/src/gateway/sessionactor.h
+++ b/src/gateway/sessionactor.h
@@ -22,6 +22,8 @@
     Duration openingTimeout{std::chrono::seconds(10)};
     /// A client is disconnected when more bytes than this wait to be sent because it doesn't read.
     std::size_t unsentLimitBytes = std::size_t{4} * 1024 * 1024;
+    /// A session that is closed while an answer is being sent ends after this time at the latest.
+    Duration sendingTimeout{std::chrono::seconds(30)};
 };
 
 /// State of the broker that owns the connection of one client. It serves one statement at a time;
@@ -62,6 +64,8 @@
     void write(const std::string &bytes);
     void closeIfIdle();
     void close();
+    void closeAtOnce();
+    void end();
     caf::actor groupOf(const std::string &pool) const;
 
     Broker *self_;
@@ -81,6 +85,7 @@
     bool closeWhenIdle_ = false;     ///< CloseIdleSessions was received.
     bool closeWhenAnswered_ = false; ///< CloseAllSessions was received.
     bool closed_ = false;
+    std::size_t unsentBytes_ = 0; ///< Written, and not yet taken by the kernel.
 };
 
 } // namespace shallotwalk
--- a/tests/gateway/test_shutdown.cpp
+++ b/tests/gateway/test_shutdown.cpp
@@ -78,4 +78,23 @@
     BOOST_TEST(fleet.process(0).waitForExit(6s));
 }
 
+// Guards against an answer that is cut because the process ends before it has been sent.
+BOOST_AUTO_TEST_CASE(process_ends_only_after_its_answers_have_been_sent)
+{
+    constexpr std::size_t rows = 24; // More than the kernel holds for a connection.
+    const std::string data(1000000, 'x');
+    const auto client = fleet.client(0, "rounds");
+    BOOST_REQUIRE(client->query("WRITE item " + data).ok());
+    fleet.fault("reads", R"({"ms": 0, "rows": )" + std::to_string(rows) + "}");
+    terminate();
+    client->send("QUERY long READ item\r\n");
+    // The client reads late, when nothing else keeps the process.
+    std::this_thread::sleep_until(terminatedAt + 3500ms);
+    const auto answer = client->receive();
+    BOOST_TEST(answer.ok());
+    BOOST_TEST(answer.rows.size() == rows);
+    std::this_thread::sleep_until(terminatedAt + 6s);
+    BOOST_TEST(fleet.process(0).waitForExit(0ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
