End each request at its deadline, whatever its stage

Change: a request that still exists after its deadline is answered, refused if it has not been sent and otherwise in doubt or aborted, logged and counted. A queue that loses an entry then costs one refusal.

--- a/src/core/groupport.h
+++ b/src/core/groupport.h
@@ -60,6 +60,10 @@
     virtual void requestRetried(const GroupRequest &request, std::string_view server,
                                 std::optional<AnswerCode> code) = 0;
 
+    /// Reports, for logs, that \a request was found unanswered after its deadline. It is answered
+    /// next.
+    virtual void requestStranded(const GroupRequest &request) = 0;
+
     /// Reports, for logs, that \a server refused a connection with \a code. The next attempt
     /// follows after \a retryDelay, if there is still need of it.
     virtual void connectionRefused(std::string_view server, AnswerCode code,
--- a/src/core/groupscheduler.cpp
+++ b/src/core/groupscheduler.cpp
@@ -376,7 +376,10 @@
     std::vector<ServerConnectionKey> timedOut;
     std::vector<RequestNumber> unserved;
     std::vector<RequestNumber> unconnected;
+    std::vector<RequestNumber> overdue;
     for (const auto &[number, pending] : requests_) {
+        if (now >= pending.request.deadline)
+            overdue.push_back(number);
         if (pending.stage == Pending::Stage::Running && now >= pending.request.deadline)
             timedOut.push_back(pending.target);
         else if (pending.stage == Pending::Stage::AwaitingServer && now >= pending.holdUntil)
@@ -396,6 +399,22 @@
         releaseReservation(found->second, now);
         refuse(found->second, "no connection could be opened in time");
     }
+    for (const auto number : overdue)
+        endStranded(number, now);
+}
+
+/// Answers a request that still exists after its deadline, although its stage should have ended it.
+void GroupScheduler::endStranded(RequestNumber number, TimePoint now)
+{
+    const auto found = requests_.find(number);
+    if (found == requests_.end())
+        return;
+    ++counters_.requestsStranded;
+    port_.requestStranded(found->second.request);
+    if (found->second.stage == Pending::Stage::Running)
+        handleLostRequest(found->second, true, now);
+    else
+        refuse(found->second, "no server could run it in time");
 }
 
 /// Moves requests queued at a silent server, and reads that run there, to other servers. Late
--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -65,6 +65,8 @@
     std::uint64_t answeredByPrimary = 0;
     std::uint64_t retries = 0;
     std::map<AnswerCode, std::uint64_t> errors; ///< Number of error answers by code.
+    /// Requests that were found unanswered after their deadline.
+    std::uint64_t requestsStranded = 0;
     std::uint64_t promotionsOrdered = 0;
     std::uint64_t connectionsOpened = 0;
     std::uint64_t connectionsLost = 0;
@@ -348,6 +350,7 @@
     void moveFromSilentServer(ServerNumber number, TimePoint now);
 
     void expireRequests(TimePoint now);
+    void endStranded(RequestNumber number, TimePoint now);
     void expireTransactions(TimePoint now);
 
     GroupSchedulerSettings settings_;
--- a/src/gateway/groupactor.cpp
+++ b/src/gateway/groupactor.cpp
@@ -297,6 +297,15 @@
                  milliseconds(context_.clock->now() - request.receivedAt));
 }
 
+void GroupActor::requestStranded(const GroupRequest &request)
+{
+    spdlog::warn("event=request_stranded id={} session={} service={} route={} team={} ms={}",
+                 logValue(request.statement.id), request.session,
+                 logValue(context_.scheduler.service), logValue(request.route),
+                 logValue(request.team.name),
+                 milliseconds(context_.clock->now() - request.receivedAt));
+}
+
 void GroupActor::connectionRefused(std::string_view server, AnswerCode code, Duration retryDelay)
 {
     spdlog::info("event=connection_refused service={} server={} outcome={} share={} standing={} "
@@ -377,6 +386,9 @@
                      "Statements answered by the primary.", counters.answeredByPrimary, labels)
         + metricText("shallotwalk_retries_total", "counter", "Statements that were sent again.",
                      counters.retries, labels)
+        + metricText("shallotwalk_requests_stranded_total", "counter",
+                     "Requests that were found unanswered after their deadline.",
+                     counters.requestsStranded, labels)
         + metricText("shallotwalk_promotions_ordered_total", "counter",
                      "Promotions that this proxy has asked for.", counters.promotionsOrdered,
                      labels)
--- a/src/gateway/groupactor.h
+++ b/src/gateway/groupactor.h
@@ -69,6 +69,7 @@
     void answer(const GroupRequest &request, GroupAnswer answer) override;
     void requestRetried(const GroupRequest &request, std::string_view server,
                         std::optional<AnswerCode> code) override;
+    void requestStranded(const GroupRequest &request) override;
     void connectionRefused(std::string_view server, AnswerCode code, Duration retryDelay) override;
     void shareWatermark(Position position, TimePoint sentAt, Position acknowledged) override;
     void reportSuspicion(std::string_view server, bool suspected) override;
--- a/tests/sessions/fakeport.h
+++ b/tests/sessions/fakeport.h
@@ -52,6 +52,10 @@
     {
         retriedRequests.push_back({request.number, std::string(server), code});
     }
+    void requestStranded(const GroupRequest &request) override
+    {
+        stranded.push_back(request.number);
+    }
     void connectionRefused(std::string_view server, AnswerCode code, Duration retryDelay) override
     {
         refusals.push_back({std::string(server), code, retryDelay});
@@ -78,6 +82,7 @@
     std::map<RequestNumber, GroupAnswer> answers;
     std::map<RequestNumber, int> answerCount;
     std::vector<Retry> retriedRequests;
+    std::vector<RequestNumber> stranded;
     std::vector<Refusal> refusals;
     std::vector<Position> shared;
     std::vector<std::pair<std::string, bool>> suspicions;
--- a/tests/sessions/fleetmodel.cpp
+++ b/tests/sessions/fleetmodel.cpp
@@ -122,6 +122,7 @@
             ++outcome.otherErrors;
         }
     }
+    void requestStranded(const GroupRequest &) override {}
     void requestRetried(const GroupRequest &, std::string_view, std::optional<AnswerCode>) override
     {
     }
--- a/tests/sessions/replicationmodel.cpp
+++ b/tests/sessions/replicationmodel.cpp
@@ -144,6 +144,7 @@
         else
             later(writePause, [this] { write(); });
     }
+    void requestStranded(const GroupRequest &) override {}
     void requestRetried(const GroupRequest &, std::string_view, std::optional<AnswerCode>) override
     {
     }
