Take a request from its queue only for a connection that can run it

Cause: a connection whose reply is being handled was idle for the scheduler and busy for the budget. If the reply made its server the primary, a request of the connection's team was taken from the queue, the budget refused the connection, and the request was given up by the queue only.

Change: one meaning of idle; the budget is asked before the queue.

Evidence: teams/request_runs_once_the_report_of_the_primary_is_handled got no answer on the code before.

--- a/src/core/connectionbudget.cpp
+++ b/src/core/connectionbudget.cpp
@@ -98,12 +98,17 @@
         std::uniform_int_distribution<Duration::rep>(delay.count() / 2, delay.count())(random_));
 }
 
-bool ConnectionBudget::take(ConnectionId id)
+bool ConnectionBudget::idle(ConnectionId id) const
 {
     const auto found = connections_.find(id);
-    if (found == connections_.end() || found->second.state != State::Idle)
+    return found != connections_.end() && found->second.state == State::Idle;
+}
+
+bool ConnectionBudget::take(ConnectionId id)
+{
+    if (!idle(id))
         return false;
-    found->second.state = State::Busy;
+    connections_.at(id).state = State::Busy;
     return true;
 }
 
--- a/src/core/connectionbudget.h
+++ b/src/core/connectionbudget.h
@@ -84,6 +84,9 @@
     /// The connection \a id is gone. \a failedToOpen delays the next opening on its server.
     void closed(ConnectionId id, bool failedToOpen, TimePoint now);
 
+    /// Returns whether take() would take the connection.
+    bool idle(ConnectionId id) const;
+
     /// Takes a connection that is idle; false if it isn't idle any more.
     bool take(ConnectionId id);
 
--- a/src/core/groupscheduler_teams.cpp
+++ b/src/core/groupscheduler_teams.cpp
@@ -38,16 +38,18 @@
 {
     auto &link = servers_.at(number);
     for (auto &[id, connection] : link.connections) {
-        if (!connection.idle())
+        // While one of its replies is being handled, a connection is idle but not free yet.
+        if (!connection.idle() || !link.budget.idle(id))
             continue;
         const auto next = link.policy->nextOf(connection.team, link.capacity(), now);
         if (!next)
             continue;
         const auto found = requests_.find(*next);
-        if (found == requests_.end() || !link.budget.take(id)) {
+        if (found == requests_.end()) {
             link.policy->abandoned(*next, now);
             continue;
         }
+        link.budget.take(id);
         start(found->second, {number, id}, now);
         return true;
     }
--- a/tests/sessions/test_teams.cpp
+++ b/tests/sessions/test_teams.cpp
@@ -204,4 +204,28 @@
     BOOST_TEST(teamsServed() == served, boost::test_tools::per_element());
 }
 
+// Guards against a request that is never answered: it was taken from its queue for the connection
+// whose report had just shown that the server is the primary, and which was still taken.
+BOOST_FIXTURE_TEST_CASE(request_runs_once_the_report_of_the_primary_is_handled, TeamFixture)
+{
+    ConnectionAllotment allotment; // One connection to each server, and no more for a moment.
+    scheduler.setConnections(allotment, now);
+    scheduler.setServers(std::vector{registration("p"), registration("r1"), registration("r2")},
+                         now);
+    wait(200ms);
+    for (const std::string server : {"p", "r1", "r2"})
+        serve(server);
+    submit(1, "");
+    for (int i = 0; i < 100 && port.answerCount[1] == 0; ++i) {
+        wait(10ms);
+        connectAll();
+        serve("p", {1, 100}, true);
+        serve("r1");
+        serve("r2");
+    }
+    BOOST_REQUIRE(port.answerCount[1] == 1);
+    BOOST_TEST(!port.answers.at(1).answer.error.has_value());
+    BOOST_TEST(port.stranded.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
