Give prepared statements short names at servers

Cause: the name at the server held two hexadecimal digits for each byte of the text, so that the messages to the server exceeded 1 MiB.

Change: each connection numbers its prepared statements and uses no number again. A text or arguments that would still exceed the limit are refused with TOOBIG.

Tests: names_of_prepared_statements_do_not_collide asked the former function for names, which is gone; it now compares the names that one connection gives out, also after a statement was forgotten, and that PREPARE and EXEC use the same.

--- a/src/core/clientsession.cpp
+++ b/src/core/clientsession.cpp
@@ -10,6 +10,11 @@
 constexpr std::size_t maxSessionValues = 200;
 constexpr std::size_t maxPreparedStatements = 500;
 
+/// Longest text of a prepared statement, and of its arguments with the id of the statement. A
+/// message to a server holds 1 MiB, and the name of the statement may be longer there than the
+/// client's.
+constexpr std::size_t maxPreparedBytes = (std::size_t{1} << 20) - 64;
+
 constexpr std::uint32_t lowestPriority = 3;
 
 /// The share of a busy server's capacity that statements of \a route get, relative to others. Each
@@ -133,6 +138,8 @@
         return {successAnswer()};
     }
     if (statement.kind == StatementKind::Prepare) {
+        if (statement.text.size() > maxPreparedBytes)
+            return {errorAnswer(AnswerCode::TooBig, "the statement is too long to be prepared")};
         if (prepared_.size() >= maxPreparedStatements && !prepared_.contains(statement.name))
             return {errorAnswer(AnswerCode::TooBig, "too many prepared statements")};
         prepared_.insert_or_assign(statement.name,
@@ -159,6 +166,13 @@
         return state_ == TransactionState::Open ? failTransaction(code, statement.name)
                                                 : SessionStep{errorAnswer(code, statement.name)};
     }
+    if (statement.kind == StatementKind::Execute
+        && statement.text.size() + statement.id.size() > maxPreparedBytes) {
+        const auto code = AnswerCode::TooBig;
+        const std::string text = "the arguments are too long";
+        return state_ == TransactionState::Open ? failTransaction(code, text)
+                                                : SessionStep{errorAnswer(code, text)};
+    }
     auto groupRequest = makeRequest(std::move(statement), request, now);
     if (readOnlyTransaction_ && state_ == TransactionState::Open && !groupRequest.readOnly) {
         outstanding_ = false;
--- a/src/core/connectioncontent.cpp
+++ b/src/core/connectioncontent.cpp
@@ -1,7 +1,6 @@
 #include "core/connectioncontent.h"
 
 #include <algorithm>
-#include <array>
 
 namespace shallotwalk {
 
@@ -21,10 +20,10 @@
     const bool surplus = std::any_of(values_.begin(), values_.end(), [&](const auto &entry) {
         return !values.contains(entry.first);
     });
-    if (surplus || prepared_.size() > preparedLimit) {
+    if (surplus || names_.size() > preparedLimit) {
         commands.push_back({CommandKind::ResetSession, {}});
         values_.clear();
-        prepared_.clear();
+        names_.clear();
     }
     for (const auto &[name, value] : values) {
         const auto present = values_.find(name);
@@ -33,27 +32,13 @@
         commands.push_back({CommandKind::SetValue, {}, {}, false, name, value});
         values_[name] = value;
     }
-    if (prepared && prepared_.insert(*prepared).second) {
-        commands.push_back({CommandKind::Prepare,
-                            {},
-                            {},
-                            prepared->readOnly,
-                            nameOf(*prepared),
-                            prepared->statementTemplate});
+    if (prepared && !names_.contains(*prepared)) {
+        const auto name = "s" + std::to_string(++lastName_);
+        names_.emplace(*prepared, name);
+        commands.push_back(
+            {CommandKind::Prepare, {}, {}, prepared->readOnly, name, prepared->statementTemplate});
     }
     return commands;
 }
 
-std::string ConnectionContent::nameOf(const PreparedStatement &prepared)
-{
-    // Hexadecimal, so that any template gives a valid name, and each template its own.
-    constexpr std::array<char, 17> digits{"0123456789abcdef"};
-    std::string name = prepared.readOnly ? "r" : "w";
-    for (const unsigned char byte : prepared.statementTemplate) {
-        name += digits[byte >> 4];
-        name += digits[byte & 0xf];
-    }
-    return name;
-}
-
 } // namespace shallotwalk
--- a/src/core/connectioncontent.h
+++ b/src/core/connectioncontent.h
@@ -2,7 +2,8 @@
 
 #include "core/sqlsession.h"
 
-#include <set>
+#include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -10,7 +11,8 @@
 
 /// Tracks the session values and prepared statements on one connection to a backend server, which
 /// is shared by many clients in turn. Different clients may use one name for different prepared
-/// statements, so a statement is prepared under a name derived from its text. Not thread-safe.
+/// statements, so each statement gets a name of its own, which is never used again on the
+/// connection. Not thread-safe.
 class ConnectionContent
 {
 public:
@@ -21,15 +23,19 @@
                                           const std::optional<PreparedStatement> &prepared);
 
     /// Records that \a prepared is no longer prepared at the server.
-    void forget(const PreparedStatement &prepared) { prepared_.erase(prepared); }
+    void forget(const PreparedStatement &prepared) { names_.erase(prepared); }
 
-    /// Returns the name of \a prepared at servers, the same for all connections and clients.
-    /// Thread-safe.
-    static std::string nameOf(const PreparedStatement &prepared);
+    /// Returns the name of \a prepared on the connection. It is short, whatever the statement.
+    /// \pre prepareFor() was the last call and was given \a prepared.
+    const std::string &nameOf(const PreparedStatement &prepared) const
+    {
+        return names_.at(prepared);
+    }
 
 private:
     SessionValues values_;
-    std::set<PreparedStatement> prepared_;
+    std::map<PreparedStatement, std::string> names_; ///< Of the prepared statements.
+    std::uint64_t lastName_ = 0;
 };
 
 } // namespace shallotwalk
--- a/src/core/groupscheduler.cpp
+++ b/src/core/groupscheduler.cpp
@@ -219,7 +219,8 @@
     }
 }
 
-ServerCommand GroupScheduler::toCommand(const GroupRequest &request) const
+ServerCommand GroupScheduler::toCommand(const GroupRequest &request,
+                                        const ConnectionContent &content) const
 {
     ServerCommand command;
     command.id = request.statement.id;
@@ -236,7 +237,7 @@
         break;
     default:
         command.kind = CommandKind::Execute;
-        command.name = ConnectionContent::nameOf(*request.prepared);
+        command.name = content.nameOf(*request.prepared);
         break;
     }
     return command;
@@ -257,7 +258,7 @@
     std::vector<ExpectedReply> kinds(commands.size(), ExpectedReply::Preparation);
     const bool begins = request.scope == RequestScope::BeginTransaction;
     const bool primaryOnly = !pending.requiredPosition;
-    auto statement = toCommand(request);
+    auto statement = toCommand(request, connection.content);
     // A server that is no longer the primary would serve a read outside of a transaction from an
     // outdated log. It refuses a begin, so a read that needs the primary runs in a transaction.
     const bool wrapped =
@@ -323,7 +324,7 @@
     auto commands =
         connection.content.prepareFor(*pending.request.values, pending.request.prepared);
     std::vector<ExpectedReply> kinds(commands.size(), ExpectedReply::Preparation);
-    commands.push_back(toCommand(pending.request));
+    commands.push_back(toCommand(pending.request, connection.content));
     kinds.push_back(ExpectedReply::Statement);
     connection.request = number;
     connection.provesPrimary = transaction.onPrimary;
--- a/src/core/groupscheduler.h
+++ b/src/core/groupscheduler.h
@@ -246,7 +246,7 @@
     void send(ServerConnectionKey key, ServerConnection &connection,
               std::span<const ServerCommand> commands, std::span<const ExpectedReply> kinds,
               TimePoint now);
-    ServerCommand toCommand(const GroupRequest &request) const;
+    ServerCommand toCommand(const GroupRequest &request, const ConnectionContent &content) const;
     bool mayBurst(const ServerLink &link, TimePoint now) const;
     std::size_t connectionLimit(const ServerLink &link, TimePoint now) const;
     void openConnection(ServerNumber number, ConnectionId id, TimePoint now);
--- a/tests/sessions/test_clientsession.cpp
+++ b/tests/sessions/test_clientsession.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 using namespace shallotwalk;
 using namespace std::chrono_literals;
 
@@ -163,12 +165,51 @@
     BOOST_TEST(step.pool == "bookings");
 }
 
+// Guards against a statement that runs in place of another one on a shared connection.
 BOOST_AUTO_TEST_CASE(names_of_prepared_statements_do_not_collide)
 {
-    const auto read = ConnectionContent::nameOf({true, "q2c"});
-    BOOST_TEST(read != ConnectionContent::nameOf({false, "q2c"}));
-    BOOST_TEST(read != ConnectionContent::nameOf({true, "q2d"}));
-    BOOST_TEST(ConnectionContent::nameOf({true, "a b"}).find(' ') == std::string::npos);
+    ConnectionContent content;
+    std::set<std::string> names;
+    const auto prepare = [&](const PreparedStatement &statement) {
+        for (const auto &command : content.prepareFor({}, statement)) {
+            BOOST_TEST((command.kind == CommandKind::Prepare));
+            BOOST_TEST(command.name == content.nameOf(statement));
+            BOOST_TEST(names.insert(command.name).second);
+        }
+        BOOST_TEST(content.nameOf(statement).find(' ') == std::string::npos);
+    };
+    const PreparedStatement read{true, "q2c"};
+    for (const auto &statement :
+         {read, {false, "q2c"}, {true, "q2d"}, PreparedStatement{true, "a b"}, read})
+        prepare(statement);
+    BOOST_TEST(names.size() == 4U);
+    // A server that has forgotten a statement gets it under another name.
+    content.forget(read);
+    prepare(read);
+    BOOST_TEST(names.size() == 5U);
+}
+
+// Guards against a long statement that is acknowledged and can't be run: its name at the server was
+// twice as long as the statement, and the messages to the server were too long.
+BOOST_AUTO_TEST_CASE(long_statement_gets_a_short_name)
+{
+    ConnectionContent content;
+    const PreparedStatement statement{true, std::string(600000, 'x')};
+    const auto commands = content.prepareFor({}, statement);
+    BOOST_REQUIRE(commands.size() == 1U);
+    BOOST_TEST(commands.front().name.size() < 20U);
+    const auto answer = handle(StatementKind::Prepare, "s", statement.statementTemplate).answer;
+    BOOST_TEST(!answer->error.has_value());
+}
+
+// Guards against acknowledging what can't be run, since the message to the server would be longer
+// than 1 MiB.
+BOOST_AUTO_TEST_CASE(statement_that_cannot_be_sent_is_refused_when_it_is_prepared)
+{
+    const std::string tooLong((std::size_t{1} << 20) - 30, 'x');
+    BOOST_TEST((handle(StatementKind::Prepare, "s", tooLong).answer->error == AnswerCode::TooBig));
+    BOOST_TEST(!handle(StatementKind::Prepare, "s", "q2c").answer->error.has_value());
+    BOOST_TEST((handle(StatementKind::Execute, "s", tooLong).answer->error == AnswerCode::TooBig));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
