Copy session values only after a request was made with them

Cause: each SET copied all values of the session, since requests under way share them, and all sessions share a thread.

Change: the first SET after a request copies the values, and those that follow change the copy in place.

Evidence: with a copy for each SET, client_session/statement_that_sets_a_value_copies_no_other_values failed; it passes now.

--- a/src/core/clientsession.cpp
+++ b/src/core/clientsession.cpp
@@ -1,6 +1,7 @@
 #include "core/clientsession.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace shallotwalk {
 
@@ -148,9 +149,10 @@
     }
     if (values_->size() >= maxSessionValues && !values_->contains(statement.name))
         return {errorAnswer(AnswerCode::TooBig, "too many session values")};
-    auto values = std::make_shared<SessionValues>(*values_);
-    values->insert_or_assign(statement.name, statement.text);
-    values_ = std::move(values);
+    // Requests keep the values that they were made with.
+    if (std::exchange(valuesShared_, false))
+        values_ = std::make_shared<SessionValues>(*values_);
+    values_->insert_or_assign(statement.name, statement.text);
     return {successAnswer()};
 }
 
@@ -205,6 +207,7 @@
         statement.kind == StatementKind::Read || (request.prepared && request.prepared->readOnly);
     request.statement = std::move(statement);
     request.values = values_;
+    valuesShared_ = true;
     request.route = route_.name;
     request.team = team_;
     request.weight = schedulingWeight(route_);
--- a/src/core/clientsession.h
+++ b/src/core/clientsession.h
@@ -80,7 +80,8 @@
     TimePoint transactionStart_;
     Position commitPosition_;
     std::optional<Position> reportedPosition_; ///< Last position reported to the client.
-    std::shared_ptr<const SessionValues> values_ = std::make_shared<SessionValues>();
+    std::shared_ptr<SessionValues> values_ = std::make_shared<SessionValues>();
+    bool valuesShared_ = false; ///< A request was made since the last change of the values.
     std::map<std::string, PreparedStatement, std::less<>> prepared_;
 };
 
--- a/tests/sessions/test_clientsession.cpp
+++ b/tests/sessions/test_clientsession.cpp
@@ -165,6 +165,34 @@
     BOOST_TEST(step.pool == "bookings");
 }
 
+// Guards against one client that keeps the processor from all others: each of its SET statements
+// copied all values of its session. The platform asks for readiness once a second.
+BOOST_AUTO_TEST_CASE(statement_that_sets_a_value_copies_no_other_values)
+{
+    const std::string large(1000000, 'x');
+    for (int i = 0; i < 100; ++i)
+        handle(StatementKind::SetValue, "v" + std::to_string(i), large);
+    handle(StatementKind::Read, {}, "1a4");
+    complete(TransactionState::None);
+    const auto start = std::chrono::steady_clock::now();
+    for (int i = 0; i < 1000; ++i)
+        handle(StatementKind::SetValue, "zone", "nord");
+    BOOST_TEST((std::chrono::steady_clock::now() - start < 1s));
+}
+
+// Guards against a statement that runs with values which were set after it.
+BOOST_AUTO_TEST_CASE(request_keeps_the_values_that_it_was_made_with)
+{
+    handle(StatementKind::SetValue, "zone", "nord");
+    const auto first = handle(StatementKind::Read, {}, "1a4").request;
+    complete(TransactionState::None);
+    handle(StatementKind::SetValue, "zone", "sud");
+    handle(StatementKind::SetValue, "zone", "centre");
+    BOOST_TEST(first->values->at("zone") == "nord");
+    const auto second = handle(StatementKind::Read, {}, "1a4").request;
+    BOOST_TEST(second->values->at("zone") == "centre");
+}
+
 // Guards against a statement that runs in place of another one on a shared connection.
 BOOST_AUTO_TEST_CASE(names_of_prepared_statements_do_not_collide)
 {
