Say in one place which replies are withheld, and why a statement was abandoned

A reader of ReplySequence had to find that the kinds of commands listed as trusted were those whose errors are not. Any error is now withheld until it is known to be in its place, except in place of a preparation, where it ends the connection.

No other behaviour changes: openings, rollbacks and reports are the last commands on a connection.

--- a/src/core/replysequence.cpp
+++ b/src/core/replysequence.cpp
@@ -24,20 +24,6 @@
     }
 }
 
-/// Whether an error in reply to a command of \a kind has an effect beyond the connection, so that
-/// it must not be taken from another command.
-bool errorIsTrusted(ExpectedReply kind)
-{
-    switch (kind) {
-    case ExpectedReply::Begin:
-    case ExpectedReply::Statement:
-    case ExpectedReply::Probe:
-        return true;
-    default:
-        return false; // The connection is closed.
-    }
-}
-
 } // namespace
 
 void ReplySequence::sent(std::span<const ExpectedReply> kinds, TimePoint now, Position logEnd)
@@ -63,7 +49,9 @@
     const auto &command = commands_.front();
     auto &reply = replies_.front();
     const bool foreign = isForeign(command.kind, reply);
-    if (!foreign && inPlace_ == 0 && reply.error && errorIsTrusted(command.kind))
+    // An error in place of a preparation ends the connection, whichever command it belongs to.
+    const bool ambiguous = reply.error && command.kind != ExpectedReply::Preparation;
+    if (!foreign && ambiguous && inPlace_ == 0)
         return std::nullopt;
     Match match{command, std::move(reply), foreign};
     commands_.pop_front();
--- a/src/gateway/sessionactor.cpp
+++ b/src/gateway/sessionactor.cpp
@@ -110,7 +110,7 @@
         return;
     group_ = nullptr;
     if (pendingRequest_ != 0 && !awaitingAdmission_)
-        abandonStatement("its group has ended");
+        abandonStatement("the connections to the servers were lost");
 }
 
 /// Answers the statement in progress, whose outcome won't be known.
@@ -125,6 +125,7 @@
                  toString(*lostOutcome_.answer.error), logValue(reason));
     if (group_)
         self_->send(group_, EndTransaction{number_});
+    lostOutcome_.answer.text = reason;
     StatementFinished lost{pendingRequest_, std::move(lostOutcome_)};
     handleFinished(lost);
 }
