Abort a transaction whose server has forgotten a prepared statement

Cause: the code of the server's error was passed on, but to a client it means that it has prepared nothing under that name.

Change: within a transaction the answer is ABORTED, otherwise BUSY once the attempts are used up; both promise that nothing is kept.

Evidence: group_scheduler/statement_forgotten_in_a_transaction_aborts_it fails on the code before.

--- a/src/core/groupscheduler_replies.cpp
+++ b/src/core/groupscheduler_replies.cpp
@@ -428,6 +428,12 @@
 
 void GroupScheduler::finishWithError(Pending &pending, AnswerCode code, std::string text)
 {
+    // To the client this code would mean that it hasn't prepared the statement.
+    if (code == AnswerCode::NotPrepared) {
+        code = pending.request.scope == RequestScope::InTransaction ? AnswerCode::Aborted
+                                                                    : AnswerCode::Busy;
+        text = "the server has forgotten the statement";
+    }
     GroupAnswer answer;
     answer.answer.error = code;
     answer.answer.text = std::move(text);
--- a/tests/sessions/test_groupscheduler.cpp
+++ b/tests/sessions/test_groupscheduler.cpp
@@ -255,6 +255,27 @@
     BOOST_TEST(sameKinds(kinds("p"), {CommandKind::Prepare, CommandKind::Execute}));
 }
 
+// Guards against telling a client that its statement isn't prepared because a server has forgotten
+// it and failed the transaction.
+BOOST_AUTO_TEST_CASE(statement_forgotten_in_a_transaction_aborts_it)
+{
+    auto first = request(1, StatementKind::Write);
+    first.scope = RequestScope::BeginTransaction;
+    scheduler.submit(first, now);
+    serve("p");
+    auto execute = request(2, StatementKind::Execute);
+    execute.session = 1;
+    execute.scope = RequestScope::InTransaction;
+    execute.prepared = PreparedStatement{false, "q2c"};
+    scheduler.submit(execute, now);
+    BOOST_TEST(sameKinds(kinds("p"), {CommandKind::Prepare, CommandKind::Execute}));
+    const auto key = takeSent("p").front().key;
+    reply(key, successReply(TransactionState::Open));
+    reply(key, error(AnswerCode::NotPrepared, TransactionState::Failed));
+    BOOST_TEST((port.answers.at(2).answer.error == AnswerCode::Aborted));
+    BOOST_TEST(sameKinds(kinds("p"), {CommandKind::Rollback}));
+}
+
 // Guards against replacing a primary that seems silent only because this process was suspended.
 BOOST_AUTO_TEST_CASE(suspension_of_the_process_is_no_silence)
 {
