--- a/tests/sessions/test_lostreplies.cpp
+++ b/tests/sessions/test_lostreplies.cpp
@@ -20,8 +20,8 @@
         sampleWatermark();
     }
 
-    /// Answers everything as a server whose slots are taken does, but keeps the connection \a key
-    /// without a reply to its first command.
+    /// Answers the commands sent to "p" with "busy", as a server without a free slot does. The next
+    /// \a lost replies on the connection \a key are not sent, and \a lost is reduced by them.
     void answerBusy(ServerConnectionKey key, std::size_t &lost)
     {
         connectAll();
